--- /dev/null
+++ b/cli/src/test/java/org/marigoldmill/cli/process/ProcessCluster.java
@@ -0,0 +1,317 @@
+package org.marigoldmill.cli.process;
+
+import com.google.protobuf.Message;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.function.BooleanSupplier;
+import org.marigoldmill.http.CallFailure;
+import org.marigoldmill.http.HttpAnswer;
+import org.marigoldmill.http.HttpCall;
+import org.marigoldmill.http.HttpCall.Header;
+import org.marigoldmill.http.HttpClient;
+import org.marigoldmill.http.ProtoJson;
+import org.marigoldmill.schema.declaration.Declaration;
+import org.marigoldmill.schema.operator.PublishReply;
+import org.marigoldmill.schema.platform.PlatformInstance;
+import org.marigoldmill.schema.standin.Fault;
+import org.marigoldmill.schema.standin.RunList;
+
+/** The whole system as separate processes over loopback, for one test. */
+public final class ProcessCluster implements AutoCloseable {
+  private static final long START_MS = 30_000;
+  private static final long POLL_MS = 50;
+  private static final String SMALL = "-Xmx64m -XX:+UseSerialGC -XX:TieredStopAtLevel=1";
+  private static final String ENTRY = "-Xmx160m -XX:+UseSerialGC";
+
+  /** Addresses of one entry instance. */
+  public record Entry(String name, String zone, String caller, String operator, String peer) {}
+
+  private final Path directory;
+  private final Map<String, Spawned> processes = new LinkedHashMap<>();
+  private final Map<String, String> addresses = new TreeMap<>();
+  private final Map<String, Entry> entries = new TreeMap<>();
+  private final Map<String, Relay> relays = new TreeMap<>();
+  private final HttpClient client = HttpClient.create("cluster", 2);
+
+  public ProcessCluster(String test) {
+    this.directory =
+        Path.of(System.getProperty("marigoldmill.work"), test.replaceAll("[^A-Za-z0-9]+", "-"));
+    try {
+      Files.createDirectories(directory);
+    } catch (IOException e) {
+      throw new UncheckedIOException(e);
+    }
+  }
+
+  /** Starts the platform's stand-ins and the weight store. */
+  public ProcessCluster platform(String... extraLogSettings) {
+    standin("log", "log", extraLogSettings);
+    standin("instances", "instances", "lag_ms = 100");
+    standin("billing", "billing");
+    standin("weights", "weights", "token_ms = 5");
+    await("instances", () -> answers(address("instances"), "/instances"));
+    standin(
+        "ordering",
+        "ordering",
+        "instances = \"" + address("instances") + "\"",
+        "ordered_kind = \"plain\"",
+        "checks_fencing = true");
+    await("log", () -> answers(address("log"), "/records?from=1"));
+    await("ordering", () -> answers(address("ordering"), "/orders"));
+    await("billing", () -> answers(address("billing"), "/reports"));
+    return this;
+  }
+
+  /** Starts an upstream that enters the instance list. */
+  public ProcessCluster upstream(
+      String kind, String name, String zone, String pool, String... extra) {
+    List<String> lines = new ArrayList<>(List.of(extra));
+    lines.add("zone = \"" + zone + "\"");
+    lines.add("pool = \"" + pool + "\"");
+    lines.add("instances = \"" + address("instances") + "\"");
+    standin(kind, name, lines.toArray(String[]::new));
+    return this;
+  }
+
+  /** Starts any stand-in on a free port. */
+  public Spawned standin(String kind, String name, String... extra) {
+    String address = addresses.computeIfAbsent(name, n -> freeAddress());
+    List<String> lines = new ArrayList<>(List.of(extra));
+    lines.add("name = \"" + name + "\"");
+    lines.add("address = \"" + address + "\"");
+    Path file = write(name, lines);
+    return spawn(name, SMALL, "standin", kind, "--settings", file.toString());
+  }
+
+  /** Starts an entry instance and enters it in the instance list. */
+  public ProcessCluster entry(String name, String zone, String... extra) {
+    Entry entry = new Entry(name, zone, freeAddress(), freeAddress(), freeAddress());
+    entries.put(name, entry);
+    List<String> lines = new ArrayList<>(List.of(extra));
+    lines.add("instance = \"" + name + "\"");
+    lines.add("zone = \"" + zone + "\"");
+    lines.add("caller_address = \"" + entry.caller() + "\"");
+    lines.add("operator_address = \"" + entry.operator() + "\"");
+    lines.add("peer_address = \"" + entry.peer() + "\"");
+    lines.add("lease_ttl_ms = 1500");
+    lines.add("lease_guard_ms = 200");
+    lines.add("send_limit_ms = 400");
+    lines.add("failure_timeout_ms = 1500");
+    lines.add("drain_notice_ms = 300");
+    lines.add("[platform]");
+    for (String part : List.of("log", "instances", "ordering", "billing")) {
+      lines.add(part + " = \"" + relay(zone, part).address() + "\"");
+    }
+    Path file = write(name, lines);
+    spawn(name, ENTRY, "serve", "--settings", file.toString());
+    register(
+        PlatformInstance.newBuilder().setName(name).setZone(zone).setAddress(entry.peer()).build());
+    return this;
+  }
+
+  /** Returns the link from a zone to a part of the platform. */
+  public Relay relay(String zone, String part) {
+    return relays.computeIfAbsent(zone + "/" + part, k -> new Relay(address(part)));
+  }
+
+  /** Cuts a zone off from the platform. */
+  public void cutPlatform(String zone) {
+    relays.forEach(
+        (name, relay) -> {
+          if (name.startsWith(zone + "/")) {
+            relay.cut();
+          }
+        });
+  }
+
+  /** Ends the cut of a zone. */
+  public void healPlatform(String zone) {
+    relays.forEach(
+        (name, relay) -> {
+          if (name.startsWith(zone + "/")) {
+            relay.heal();
+          }
+        });
+  }
+
+  /** Publishes a declaration through any entry instance, once all are up. */
+  public PublishReply publish(Declaration declaration) {
+    entries.values().forEach(e -> await(e.name(), () -> answers(e.operator(), "/health")));
+    return publishAt(entries.keySet().iterator().next(), declaration);
+  }
+
+  /** Publishes a declaration through one entry instance. */
+  public PublishReply publishAt(String entry, Declaration declaration) {
+    return client
+        .exchange(
+            HttpCall.post(operator(entry), "/declaration", ProtoJson.bytes(declaration))
+                .timeouts(2_000, 30_000, 30_000))
+        .message(PublishReply.getDefaultInstance());
+  }
+
+  /** Waits until every live entry instance is ready and knows all upstreams. */
+  public void awaitReady(int upstreams) {
+    for (Entry entry : entries.values()) {
+      await(entry.name() + " ready", () -> answers(entry.operator(), "/ready"));
+      await(
+          entry.name() + " upstreams",
+          () -> count(show(entry.name(), "upstreams"), "\"name\"") >= upstreams);
+    }
+  }
+
+  /** Calls a service with a key. */
+  public HttpAnswer call(String entry, String path, String key, String body, Header... extra) {
+    List<Header> headers = new ArrayList<>(List.of(extra));
+    if (!key.isEmpty()) {
+      headers.add(new Header("Authorization", "Bearer " + key));
+    }
+    return client.exchange(
+        HttpCall.post(
+                entries.get(entry).caller(),
+                path,
+                body.getBytes(java.nio.charset.StandardCharsets.UTF_8))
+            .headers(headers)
+            .timeouts(1_000, 20_000, 30_000));
+  }
+
+  /** Orders a fault from a stand-in. */
+  public void fault(String standin, Fault.Builder fault) {
+    client.exchange(HttpCall.post(address(standin), "/fault", ProtoJson.bytes(fault)));
+  }
+
+  /** Returns what a stand-in answers on a path. */
+  public <M extends Message> M read(String standin, String path, M prototype) {
+    return client.exchange(HttpCall.get(address(standin), path)).message(prototype);
+  }
+
+  /** Returns what an upstream stand-in has run. */
+  public RunList runs(String upstream) {
+    return read(upstream, "/runs", RunList.getDefaultInstance());
+  }
+
+  /** Sends an empty POST to a stand-in. */
+  public void tell(String standin, String path) {
+    client.exchange(HttpCall.post(address(standin), path, new byte[0]));
+  }
+
+  /** Enters an instance in the instance list. */
+  public void register(PlatformInstance instance) {
+    client.exchange(HttpCall.post(address("instances"), "/register", ProtoJson.bytes(instance)));
+  }
+
+  public String show(String entry, String what) {
+    return client.exchange(HttpCall.get(operator(entry), "/show/" + what)).text();
+  }
+
+  public <M extends Message> M shown(String entry, String what, M prototype) {
+    return ProtoJson.parse(show(entry, what), prototype);
+  }
+
+  public HttpClient client() {
+    return client;
+  }
+
+  public Spawned process(String name) {
+    return processes.get(name);
+  }
+
+  public String address(String standin) {
+    return addresses.get(standin);
+  }
+
+  public String operator(String entry) {
+    return entries.get(entry).operator();
+  }
+
+  public Entry entry(String name) {
+    return entries.get(name);
+  }
+
+  public List<String> callerAddresses() {
+    return entries.values().stream().map(Entry::caller).toList();
+  }
+
+  public boolean answers(String address, String path) {
+    try {
+      return client.exchange(HttpCall.get(address, path).timeouts(500, 1_000, 2_000)).successful();
+    } catch (CallFailure e) {
+      return false;
+    }
+  }
+
+  /** Waits for a condition and fails when it does not come true in time. */
+  public static void await(String what, BooleanSupplier condition) {
+    await(what, START_MS, condition);
+  }
+
+  public static void await(String what, long limitMs, BooleanSupplier condition) {
+    long until = System.nanoTime() / 1_000_000 + limitMs;
+    while (!holds(condition)) {
+      if (System.nanoTime() / 1_000_000 > until) {
+        throw new AssertionError("not within " + limitMs + " ms: " + what);
+      }
+      pause(POLL_MS);
+    }
+  }
+
+  public static void pause(long ms) {
+    try {
+      Thread.sleep(ms);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
+  @Override
+  public void close() {
+    processes.values().forEach(Spawned::resume);
+    processes.values().forEach(Spawned::kill);
+    relays.values().forEach(Relay::close);
+    client.close();
+  }
+
+  private static boolean holds(BooleanSupplier condition) {
+    try {
+      return condition.getAsBoolean();
+    } catch (CallFailure e) {
+      return false;
+    }
+  }
+
+  private Spawned spawn(String name, String javaOptions, String... arguments) {
+    List<String> command = new ArrayList<>(List.of(System.getProperty("marigoldmill.binary")));
+    command.addAll(List.of(arguments));
+    Spawned spawned = new Spawned(name, directory, javaOptions, command);
+    processes.put(name, spawned);
+    return spawned;
+  }
+
+  private Path write(String name, List<String> lines) {
+    try {
+      return Files.write(directory.resolve(name + ".toml"), lines);
+    } catch (IOException e) {
+      throw new UncheckedIOException(e);
+    }
+  }
+
+  private static int count(String text, String part) {
+    return (text.length() - text.replace(part, "").length()) / part.length();
+  }
+
+  private static String freeAddress() {
+    try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+      return "127.0.0.1:" + socket.getLocalPort();
+    } catch (IOException e) {
+      throw new UncheckedIOException(e);
+    }
+  }
+}
--- /dev/null
+++ b/cli/src/test/java/org/marigoldmill/cli/process/Relay.java
@@ -0,0 +1,140 @@
+package org.marigoldmill.cli.process;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
+import java.io.UncheckedIOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
+
+/** A link between two processes that a test can cut or silence. */
+public final class Relay implements AutoCloseable {
+  private static final int CHUNK_BYTES = 16 * 1024;
+
+  private enum State {
+    OPEN,
+    CUT
+  }
+
+  private record Link(Socket from, Socket to) {}
+
+  private final ServerSocket server;
+  private final String target;
+  private final List<Link> links = new CopyOnWriteArrayList<>();
+  private final List<Socket> silent = new CopyOnWriteArrayList<>();
+  private volatile State state = State.OPEN;
+
+  public Relay(String target) {
+    this.target = target;
+    try {
+      this.server = new ServerSocket(0, 64, InetAddress.getLoopbackAddress());
+    } catch (IOException e) {
+      throw new UncheckedIOException(e);
+    }
+    daemon(this::acceptAll);
+  }
+
+  public String address() {
+    return "127.0.0.1:" + server.getLocalPort();
+  }
+
+  /** Cuts all connections, and every new one at once. */
+  public void cut() {
+    state = State.CUT;
+    links.forEach(Relay::close);
+    links.clear();
+  }
+
+  /** Lets connections through again; silenced ones stay silent. */
+  public void heal() {
+    state = State.OPEN;
+  }
+
+  /** Swallows all that the open connections send from now on; new connections work. */
+  public void silenceOpenConnections() {
+    links.forEach(
+        l -> {
+          silent.add(l.from());
+          silent.add(l.to());
+        });
+  }
+
+  @Override
+  public void close() {
+    cut();
+    try {
+      server.close();
+    } catch (IOException e) {
+      throw new UncheckedIOException(e);
+    }
+  }
+
+  private void acceptAll() {
+    while (!server.isClosed()) {
+      try {
+        accept(server.accept());
+      } catch (IOException e) {
+        return;
+      }
+    }
+  }
+
+  private void accept(Socket from) throws IOException {
+    if (state == State.CUT) {
+      from.close();
+      return;
+    }
+    int colon = target.lastIndexOf(':');
+    try {
+      Socket to =
+          new Socket(target.substring(0, colon), Integer.parseInt(target.substring(colon + 1)));
+      from.setTcpNoDelay(true);
+      to.setTcpNoDelay(true);
+      Link link = new Link(from, to);
+      links.add(link);
+      daemon(() -> copy(link, from, to));
+      daemon(() -> copy(link, to, from));
+    } catch (IOException e) {
+      from.close();
+    }
+  }
+
+  private void copy(Link link, Socket source, Socket sink) {
+    byte[] chunk = new byte[CHUNK_BYTES];
+    try {
+      InputStream in = source.getInputStream();
+      OutputStream out = sink.getOutputStream();
+      for (int n = in.read(chunk); n >= 0; n = in.read(chunk)) {
+        if (!silent.contains(source)) {
+          out.write(chunk, 0, n);
+          out.flush();
+        }
+      }
+      if (!silent.contains(source)) {
+        close(link);
+      }
+    } catch (IOException e) {
+      close(link);
+    } finally {
+      links.remove(link);
+    }
+  }
+
+  private static void close(Link link) {
+    try {
+      link.from().close();
+      link.to().close();
+    } catch (IOException e) {
+      throw new UncheckedIOException(e);
+    }
+  }
+
+  private static void daemon(Runnable work) {
+    Thread thread = new Thread(work, "relay");
+    thread.setDaemon(true);
+    thread.start();
+  }
+}
--- /dev/null
+++ b/cli/src/test/java/org/marigoldmill/cli/process/Spawned.java
@@ -0,0 +1,104 @@
+package org.marigoldmill.cli.process;
+
+import java.io.File;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+
+/** One process of a test, with the signals that a test sends it. */
+public final class Spawned {
+  private static final long EXIT_WAIT_SECONDS = 40;
+
+  private final String name;
+  private final List<String> command;
+  private final Path directory;
+  private final String javaOptions;
+  private Process process;
+
+  Spawned(String name, Path directory, String javaOptions, List<String> command) {
+    this.name = name;
+    this.directory = directory;
+    this.javaOptions = javaOptions;
+    this.command = command;
+    start();
+  }
+
+  public String name() {
+    return name;
+  }
+
+  public long pid() {
+    return process.pid();
+  }
+
+  public boolean alive() {
+    return process.isAlive();
+  }
+
+  public void kill() {
+    process.destroyForcibly();
+    awaitExit();
+  }
+
+  public void freeze() {
+    signal("-STOP");
+  }
+
+  public void resume() {
+    signal("-CONT");
+  }
+
+  public void terminate() {
+    signal("-TERM");
+  }
+
+  public void restart() {
+    start();
+  }
+
+  public boolean awaitExit() {
+    try {
+      return process.waitFor(EXIT_WAIT_SECONDS, TimeUnit.SECONDS);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+      return false;
+    }
+  }
+
+  public String output() {
+    try {
+      return Files.readString(log().toPath());
+    } catch (IOException e) {
+      throw new UncheckedIOException(e);
+    }
+  }
+
+  private void start() {
+    ProcessBuilder builder = new ProcessBuilder(command);
+    builder.environment().put("MARIGOLDMILL_JAVA_OPTIONS", javaOptions);
+    builder.redirectErrorStream(true);
+    builder.redirectOutput(ProcessBuilder.Redirect.appendTo(log()));
+    try {
+      process = builder.start();
+    } catch (IOException e) {
+      throw new UncheckedIOException(e);
+    }
+  }
+
+  private File log() {
+    return directory.resolve(name + ".log").toFile();
+  }
+
+  private void signal(String signal) {
+    try {
+      new ProcessBuilder("kill", signal, Long.toString(process.pid())).start().waitFor();
+    } catch (IOException e) {
+      throw new UncheckedIOException(e);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+}
--- /dev/null
+++ b/cli/src/test/java/org/marigoldmill/cli/promises/ControlSteps.java
@@ -0,0 +1,320 @@
+package org.marigoldmill.cli.promises;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.cucumber.java.en.Given;
+import io.cucumber.java.en.Then;
+import io.cucumber.java.en.When;
+import java.util.Arrays;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.stream.Stream;
+import org.marigoldmill.cli.process.ProcessCluster;
+import org.marigoldmill.core.key.KeyDirectory;
+import org.marigoldmill.http.HttpCall;
+import org.marigoldmill.http.ProtoJson;
+import org.marigoldmill.schema.declaration.Declaration;
+import org.marigoldmill.schema.log.LogRecord;
+import org.marigoldmill.schema.log.Usage;
+import org.marigoldmill.schema.operator.PublishOutcome;
+import org.marigoldmill.schema.operator.PublishReply;
+import org.marigoldmill.schema.operator.ShownConfig;
+import org.marigoldmill.schema.operator.ShownLeases;
+import org.marigoldmill.schema.operator.WithdrawRequest;
+import org.marigoldmill.schema.platform.InstanceList;
+import org.marigoldmill.schema.platform.OrderList;
+import org.marigoldmill.schema.platform.OrderRequest;
+import org.marigoldmill.schema.platform.PlacedOrder;
+import org.marigoldmill.schema.platform.ReportList;
+import org.marigoldmill.schema.platform.UsageReport;
+
+/** Steps about configuration, keys, orders and bills. */
+public final class ControlSteps {
+  private static final long IN_CHARGE_MS = 20_000;
+
+  private final World world;
+  private List<PublishReply> race = List.of();
+
+  public ControlSteps(World world) {
+    this.world = world;
+  }
+
+  @When("the key of {string} is withdrawn at {string}")
+  public void withdraw(String organisation, String entry) {
+    WithdrawRequest request =
+        WithdrawRequest.newBuilder().addSha256(KeyDirectory.hash(World.key(organisation))).build();
+    HttpCall call =
+        HttpCall.post(world.cluster().operator(entry), "/withdrawal", ProtoJson.bytes(request))
+            .timeouts(1_000, 30_000, 30_000);
+    var unused = CompletableFuture.runAsync(() -> world.cluster().client().exchange(call));
+  }
+
+  @When("a declaration without the key of {string} is published at {string}")
+  public void publishWithoutKey(String organisation, String entry) {
+    Declaration.Builder next = current(entry);
+    next.getOrganisationsBuilderList().stream()
+        .filter(o -> o.getName().equals(organisation))
+        .forEach(o -> o.clearKeys());
+    var unused = CompletableFuture.runAsync(() -> world.cluster().publishAt(entry, next.build()));
+  }
+
+  @Then("within {int} seconds the key of {string} is refused at {string}")
+  public void refusedAt(int seconds, String organisation, String entries) {
+    for (String entry : names(entries)) {
+      ProcessCluster.await(
+          "refusal at " + entry,
+          seconds * 1_000L,
+          () ->
+              world.cluster().call(entry, "/v1/lookups/call", World.key(organisation), "x").status()
+                  == 401);
+    }
+  }
+
+  @Then("after {string} goes on the withdrawal is in the log")
+  public void withdrawalInLog(String log) {
+    world.cluster().process(log).resume();
+    ProcessCluster.await(
+        "withdrawal in the log",
+        () ->
+            !world
+                .cluster()
+                .read(
+                    log,
+                    "/records?from=1",
+                    org.marigoldmill.schema.platform.ReadReply.getDefaultInstance())
+                .getRecordsList()
+                .stream()
+                .map(r -> parse(r.getBody()))
+                .filter(LogRecord::hasWithdrawal)
+                .toList()
+                .isEmpty());
+  }
+
+  @When("pool {string} in zone {string} is declared with at least {int} upstreams")
+  public void declareMin(String pool, String zone, int min) {
+    Declaration.Builder next = current(world.anyEntry());
+    next.getPoolsBuilderList().stream()
+        .filter(p -> p.getName().equals(pool) && p.getZone().equals(zone))
+        .forEach(p -> p.setMin(min));
+    PublishReply reply = world.cluster().publishAt(world.anyEntry(), next.build());
+    assertThat(reply.getOutcome()).isIn(PublishOutcome.IN_FORCE, PublishOutcome.ACCEPTED);
+  }
+
+  @When("pool {string} in zone {string} has {int} upstreams")
+  public void hasUpstreams(String pool, String zone, int count) {
+    ProcessCluster.await("upstreams", () -> upstreams(pool, zone) >= count);
+    ProcessCluster.pause(3_000);
+    assertThat(upstreams(pool, zone)).isEqualTo(count);
+  }
+
+  @When("the holder of {string} is frozen until another holds it")
+  public void freezeHolder(String scope) {
+    String holder = world.holder(scope);
+    world.cluster().process(holder).freeze();
+    world.frozenHolder(holder);
+    ProcessCluster.await(
+        "a new holder of " + scope,
+        IN_CHARGE_MS,
+        () -> !world.holder(scope).equals(holder) && !world.holder(scope).isEmpty());
+  }
+
+  @When("the frozen holder goes on")
+  public void resumeHolder() {
+    world.cluster().process(world.frozenHolder()).resume();
+    world.frozenHolder("");
+    ProcessCluster.pause(2_000);
+  }
+
+  @When("the holder of {string} is killed")
+  public void killHolder(String scope) {
+    world.cluster().process(world.holder(scope)).kill();
+  }
+
+  @When("the holder of {string} is restarted")
+  public void restartHolder(String scope) {
+    String holder = world.holder(scope);
+    world.cluster().process(holder).terminate();
+    assertThat(world.cluster().process(holder).awaitExit()).isTrue();
+    world.cluster().process(holder).restart();
+  }
+
+  @When("an intent of {string} is open")
+  public void intentOpen(String scope) {
+    ProcessCluster.await(
+        "an open intent",
+        () ->
+            leases().getIntentsList().stream()
+                .anyMatch(i -> i.getIntent().getScope().equals(scope) && !i.hasOutcome()));
+  }
+
+  @Then("{int} upstreams were ordered")
+  public void ordered(int count) {
+    assertThat(
+            orders().stream()
+                .map(PlacedOrder::getRequest)
+                .filter(r -> r.getReleaseUpstream().isEmpty())
+                .mapToInt(OrderRequest::getCount)
+                .sum())
+        .isEqualTo(count);
+  }
+
+  @Then("no order came from a process that was not in charge")
+  public void ordersInCharge() {
+    assertNeverBack(
+        orders().stream()
+            .map(PlacedOrder::getRequest)
+            .map(r -> new Effect(r.getScope(), r.getProcess(), r.getFencing())));
+  }
+
+  @Then("no report came from a process that was not in charge")
+  public void reportsInCharge() {
+    assertNeverBack(
+        reports().getReportsList().stream()
+            .map(r -> new Effect(r.getScope(), r.getProcess(), r.getFencing())));
+  }
+
+  @Then("no window was reported with differing figures")
+  public void sameFigures() {
+    Map<String, UsageReport> first = new HashMap<>();
+    for (UsageReport report : reports().getReportsList()) {
+      UsageReport known = first.putIfAbsent(report.getScope() + "/" + report.getWindow(), report);
+      if (known != null) {
+        assertThat(report.getUsageList()).isEqualTo(known.getUsageList());
+        assertThat(report.getLateList()).isEqualTo(known.getLateList());
+      }
+    }
+  }
+
+  @Then("the reports come to equal what was received within {int} seconds")
+  public void reportsEqual(int seconds) {
+    long answered = world.calls().stream().filter(World.Called::answered).count();
+    ProcessCluster.await(
+        "reports of " + answered + " requests",
+        seconds * 1_000L,
+        () -> reportedRequests() == answered);
+  }
+
+  @When("declarations are published at {string} and {string} against the same revision")
+  public void racePublications(String one, String other) {
+    Declaration.Builder first = current(one);
+    Declaration.Builder second = first.build().toBuilder();
+    first.getOrganisationsBuilder(0).setWeight(2);
+    second.getOrganisationsBuilder(0).setWeight(3);
+    var a = CompletableFuture.supplyAsync(() -> world.cluster().publishAt(one, first.build()));
+    var b = CompletableFuture.supplyAsync(() -> world.cluster().publishAt(other, second.build()));
+    race = List.of(a.join(), b.join());
+  }
+
+  @Then("exactly one is accepted and the other is told of the conflict")
+  public void oneAccepted() {
+    assertThat(race)
+        .extracting(PublishReply::getOutcome)
+        .containsExactlyInAnyOrder(PublishOutcome.IN_FORCE, PublishOutcome.CONFLICT);
+  }
+
+  @Given("a second revision is published at {string}")
+  public void secondRevision(String entry) {
+    Declaration.Builder next = current(entry);
+    next.getOrganisationsBuilder(0).setWeight(2);
+    PublishReply reply = world.cluster().publishAt(entry, next.build());
+    assertThat(reply.getOutcome()).isIn(PublishOutcome.IN_FORCE, PublishOutcome.ACCEPTED);
+  }
+
+  @When("{int} records have been appended")
+  public void appended(int count) {
+    ProcessCluster.await(
+        "records",
+        60_000,
+        () ->
+            world.cluster().shown("a1", "config", ShownConfig.getDefaultInstance()).getNextOffset()
+                > count);
+  }
+
+  @Then("within {int} seconds {string} have the same revision in force")
+  public void sameRevision(int seconds, String entries) {
+    long newest = names(entries).stream().mapToLong(this::revisionOrZero).max().orElse(0);
+    assertThat(newest).isPositive();
+    for (String entry : names(entries)) {
+      ProcessCluster.await(
+          "revision " + newest + " at " + entry,
+          seconds * 1_000L,
+          () -> world.revision(entry) == newest);
+    }
+  }
+
+  private record Effect(String scope, String process, long fencing) {}
+
+  private static void assertNeverBack(Stream<Effect> effects) {
+    Map<String, Effect> last = new HashMap<>();
+    effects.forEach(
+        e -> {
+          Effect before = last.put(e.scope(), e);
+          if (before != null) {
+            assertThat(e.fencing())
+                .as("%s after %s", e, before)
+                .isGreaterThanOrEqualTo(before.fencing());
+            assertThat(e.fencing() == before.fencing())
+                .isEqualTo(e.process().equals(before.process()));
+          }
+        });
+  }
+
+  private long revisionOrZero(String entry) {
+    try {
+      return world.revision(entry);
+    } catch (RuntimeException e) {
+      return 0;
+    }
+  }
+
+  private Declaration.Builder current(String entry) {
+    ShownConfig shown = world.cluster().shown(entry, "config", ShownConfig.getDefaultInstance());
+    return shown.getDeclaration().toBuilder().setAgainstRevision(shown.getRevision());
+  }
+
+  private long upstreams(String pool, String zone) {
+    return world
+        .cluster()
+        .read("instances", "/instances", InstanceList.getDefaultInstance())
+        .getInstancesList()
+        .stream()
+        .filter(i -> i.getPool().equals(pool) && i.getZone().equals(zone))
+        .count();
+  }
+
+  private ShownLeases leases() {
+    return world.cluster().shown(world.anyEntry(), "leases", ShownLeases.getDefaultInstance());
+  }
+
+  private List<PlacedOrder> orders() {
+    return world
+        .cluster()
+        .read("ordering", "/orders", OrderList.getDefaultInstance())
+        .getOrdersList();
+  }
+
+  private ReportList reports() {
+    return world.cluster().read("billing", "/reports", ReportList.getDefaultInstance());
+  }
+
+  private long reportedRequests() {
+    return reports().getDistinctList().stream()
+        .flatMap(r -> r.getUsageList().stream())
+        .mapToLong(Usage::getRequests)
+        .sum();
+  }
+
+  private static LogRecord parse(com.google.protobuf.ByteString body) {
+    try {
+      return LogRecord.parseFrom(body);
+    } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+      throw new IllegalStateException(e);
+    }
+  }
+
+  static List<String> names(String list) {
+    return Arrays.stream(list.split(", *", -1)).toList();
+  }
+}
--- /dev/null
+++ b/cli/src/test/java/org/marigoldmill/cli/promises/SystemSteps.java
@@ -0,0 +1,141 @@
+package org.marigoldmill.cli.promises;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.cucumber.java.After;
+import io.cucumber.java.Before;
+import io.cucumber.java.Scenario;
+import io.cucumber.java.en.Given;
+import io.cucumber.java.en.Then;
+import org.marigoldmill.cli.process.Examples;
+import org.marigoldmill.cli.process.ProcessCluster;
+import org.marigoldmill.schema.operator.PublishOutcome;
+import org.marigoldmill.schema.standin.Fault;
+import org.marigoldmill.schema.standin.FaultKind;
+
+/** Steps that start the system and bring about faults. */
+public final class SystemSteps {
+  private static final int UPSTREAMS = 6;
+
+  private final World world;
+
+  public SystemSteps(World world) {
+    this.world = world;
+  }
+
+  @Before
+  public void prepare(Scenario scenario) {
+    world.cluster(new ProcessCluster(scenario.getName()));
+  }
+
+  @After
+  public void stop() {
+    world.cluster().close();
+  }
+
+  @Given("the system")
+  public void theSystem() {
+    start();
+  }
+
+  @Given("the system with a log that keeps {int} records")
+  public void theSystemWithShortLog(int records) {
+    start("retention_records = " + records);
+  }
+
+  @Given("{string} refuses {int} request(s) to {string}")
+  public void refuses(String standin, int count, String path) {
+    fault(standin, FaultKind.OUTAGE, count, path);
+  }
+
+  @Given("{string} refuses all requests to {string}")
+  public void refusesAll(String standin, String path) {
+    fault(standin, FaultKind.OUTAGE, 0, path);
+  }
+
+  @Given("{string} works again")
+  public void worksAgain(String standin) {
+    fault(standin, FaultKind.NONE, 0, "");
+  }
+
+  @Given("{string} loses the answers to {int} request(s) to {string}")
+  public void loses(String standin, int count, String path) {
+    fault(standin, FaultKind.DROP_ANSWER, count, path);
+  }
+
+  @Given("{string} loses the answers to {int} request(s)")
+  public void loses(String standin, int count) {
+    fault(standin, FaultKind.DROP_ANSWER, count, "/call");
+  }
+
+  @Given("{string} crosses the answers to {int} requests")
+  public void crosses(String standin, int count) {
+    fault(standin, FaultKind.CROSS, count, "/call");
+  }
+
+  @Given("{string} cuts the answers to all requests")
+  public void cuts(String standin) {
+    fault(standin, FaultKind.CUT, 0, "/generate");
+  }
+
+  @Given("{string} is frozen")
+  public void frozen(String process) {
+    world.cluster().process(process).freeze();
+  }
+
+  @Given("{string} goes on")
+  public void goesOn(String process) {
+    world.cluster().process(process).resume();
+    ProcessCluster.pause(2_000);
+  }
+
+  @Given("{string} is killed")
+  public void killed(String process) {
+    world.cluster().process(process).kill();
+  }
+
+  @Given("{string} is killed and started again")
+  public void restarted(String process) {
+    world.cluster().process(process).kill();
+    world.cluster().process(process).restart();
+  }
+
+  @Given("zone {string} is cut off from the platform")
+  public void cutOff(String zone) {
+    world.cluster().cutPlatform(zone);
+  }
+
+  @Given("{string} is told to stop")
+  public void toldToStop(String process) {
+    world.cluster().process(process).terminate();
+  }
+
+  @Then("{string} has exited with code 0")
+  public void exited(String process) {
+    assertThat(world.cluster().process(process).awaitExit()).isTrue();
+    assertThat(world.cluster().process(process).output()).contains("stopped");
+  }
+
+  private void fault(String standin, FaultKind kind, int count, String path) {
+    world.cluster().fault(standin, Fault.newBuilder().setKind(kind).setCount(count).setPath(path));
+  }
+
+  private void start(String... logSettings) {
+    ProcessCluster cluster = world.cluster();
+    cluster.platform(logSettings);
+    for (String zone : new String[] {"a", "b"}) {
+      cluster.upstream("plain", "records-" + zone + "1", zone, "records", "token_ms = 2");
+      cluster.upstream("engine", "engine-" + zone + "1", zone, "lm", "token_ms = 4");
+    }
+    cluster.upstream("engine", "engine-a2", "a", "lm", "token_ms = 4");
+    cluster.upstream("scoring", "scoring-a1", "a", "scoring");
+    String snapshots = "snapshot_every_records = 20";
+    cluster.entry("a1", "a", snapshots).entry("a2", "a", snapshots).entry("b1", "b", snapshots);
+    var reply = cluster.publish(Examples.declaration(0, cluster.address("weights")).build());
+    assertThat(reply.getOutcome()).isIn(PublishOutcome.IN_FORCE, PublishOutcome.ACCEPTED);
+    cluster.awaitReady(UPSTREAMS);
+    ProcessCluster.await(
+        "leases",
+        () -> !world.holder("ordering/a").isEmpty() && !world.holder("billing/a").isEmpty());
+  }
+}
