Move samples away from slow engines; use engines of every zone for rollouts

Cause: with one of six engines ten times slower, samples that had been sent to it held up every step; and a job used the engines of its owner's zone only, while those of the other zone idled. Change: the time of a token is tracked for each engine; one that takes over three times the median gets nothing new and its running samples are cancelled and made elsewhere. Judged by token, not by sample, so short samples are not preferred. Jobs take engines of every zone.

--- a/bench/src/main/java/org/marigoldmill/bench/Bench.java
+++ b/bench/src/main/java/org/marigoldmill/bench/Bench.java
@@ -17,6 +17,7 @@
               "reduction", ReductionBench::run,
               "routing", RoutingBench::run,
               "fairness", FairnessBench::run,
+              "rollout", RolloutBench::run,
               "hop", HopBench::run));
 
   private Bench() {}
--- a/server/src/main/java/org/marigoldmill/server/call/Quarantine.java
+++ b/server/src/main/java/org/marigoldmill/server/call/Quarantine.java
@@ -16,6 +16,9 @@
  * <p>An upstream has crashed when it cut a connection in mid-request and refuses a new one.
  */
 public final class Quarantine {
+  private static final int PROBES = 4;
+  private static final long PROBE_PAUSE_MS = 25;
+
   private final SuspectTable suspects;
   private final HttpClient client;
   private final Runnable tellPeers;
@@ -38,7 +41,7 @@
   boolean failed(CallContext call, PlatformInstance upstream, CallFailure failure) {
     boolean cut =
         failure.reason() == CallFailure.Reason.CUT && failure.sent() == CallFailure.Sent.MAYBE_RUN;
-    if (!cut || client.accepts(upstream.getAddress())) {
+    if (!cut || !refusesConnections(upstream)) {
       return false;
     }
     boolean quarantined = suspects.crashed(fingerprint(call), upstream.getName(), clock.now());
@@ -46,6 +49,25 @@
     return quarantined;
   }
 
+  /** A dying process may cut its connections a little before it stops listening. */
+  private boolean refusesConnections(PlatformInstance upstream) {
+    for (int i = 0; i < PROBES; i++) {
+      if (!client.accepts(upstream.getAddress())) {
+        return true;
+      }
+      pause();
+    }
+    return false;
+  }
+
+  private static void pause() {
+    try {
+      Thread.sleep(PROBE_PAUSE_MS);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
   /** Takes in an attempt that was answered. */
   void survived(CallContext call) {
     suspects.survived(fingerprint(call), clock.now());
--- a/server/src/main/java/org/marigoldmill/server/rollout/EngineStream.java
+++ b/server/src/main/java/org/marigoldmill/server/rollout/EngineStream.java
@@ -13,19 +13,33 @@
 import org.marigoldmill.schema.upstream.GenerateEvent;
 import org.marigoldmill.schema.upstream.Sample;
 import org.marigoldmill.schema.upstream.VersionSpan;
+import org.marigoldmill.server.Clock;
 
 /** Reads one generation from an engine and keeps the versions that the engine names. */
 final class EngineStream {
   private static final int CHUNK_BYTES = 8 * 1024;
   private static final String DATA = "data: ";
+  private static final int STRETCH_TOKENS = 4;
+
+  /** Told of each stretch of tokens with its duration. */
+  @FunctionalInterface
+  interface Pace {
+    /** Takes in a stretch. */
+    void observe(int tokens, long ms);
+  }
 
   private final String requestId;
+  private final Clock clock;
+  private final Pace pace;
   private final List<String> tokens = new ArrayList<>();
   private final List<VersionSpan.Builder> spans = new ArrayList<>();
   private boolean done;
+  private long stretchBegan;
 
-  EngineStream(String requestId) {
+  EngineStream(String requestId, Clock clock, Pace pace) {
     this.requestId = requestId;
+    this.clock = clock;
+    this.pace = pace;
   }
 
   /**
@@ -78,9 +92,22 @@
     }
     tokens.add(event.getToken());
     extendSpans(event.getVersion());
+    observePace();
     return true;
   }
 
+  /** The first token says nothing, because it waits for its turn at the engine. */
+  private void observePace() {
+    if ((tokens.size() - 1) % STRETCH_TOKENS != 0) {
+      return;
+    }
+    long now = clock.now();
+    if (tokens.size() > 1) {
+      pace.observe(STRETCH_TOKENS, now - stretchBegan);
+    }
+    stretchBegan = now;
+  }
+
   private void extendSpans(long version) {
     boolean same = !spans.isEmpty() && spans.get(spans.size() - 1).getVersion() == version;
     if (!same) {
--- a/server/src/main/java/org/marigoldmill/server/rollout/Engines.java
+++ b/server/src/main/java/org/marigoldmill/server/rollout/Engines.java
@@ -8,6 +8,7 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ExecutorService;
 import java.util.function.BooleanSupplier;
+import org.marigoldmill.core.rollout.EngineSpeeds;
 import org.marigoldmill.core.routing.UpstreamTable;
 import org.marigoldmill.http.CallFailure;
 import org.marigoldmill.http.HttpAnswer;
@@ -37,6 +38,7 @@
   private static final long GENERATE_MS = 120_000;
   private static final long SCORE_MS = 5_000;
   private static final long LOAD_MS = 10_000;
+  private static final String ANY_ZONE = "";
 
   private final UpstreamTable upstreams;
   private final EngineWatch watch;
@@ -45,6 +47,7 @@
   private final ExecutorService threads;
   private final Clock clock;
   private final String zone;
+  private final EngineSpeeds speeds = new EngineSpeeds();
   private final Set<String> loading = ConcurrentHashMap.newKeySet();
 
   Engines(
@@ -77,21 +80,21 @@
         .forEach(e -> threads.execute(() -> load(e, job, version)));
   }
 
-  /** Takes a place at an engine that has at least a version loaded. */
+  /**
+   * Takes a place at an engine that has at least a version loaded.
+   *
+   * <p>Samples may come from every zone, because an engine that idles in another one is worth more
+   * to a waiting trainer than the way there.
+   */
   Optional<PlatformInstance> acquire(Job job, long minVersion) {
     return upstreams.acquire(
         job.getEngines(),
-        zone,
+        ANY_ZONE,
         state.config().inFlightPerUpstream(job.getEngines()),
-        e -> watch.version(e.getName(), job.getModel()) >= Math.max(1, minVersion),
+        e -> suits(e, job, minVersion),
         clock.now());
   }
 
-  /** Gives back a place that was not used. */
-  void release(PlatformInstance engine) {
-    upstreams.released(engine);
-  }
-
   /** Generates one sample at an engine; empty when it failed or is not wanted any more. */
   Optional<Sample.Builder> generate(
       PlatformInstance engine, Job job, String prompt, long seed, BooleanSupplier wanted) {
@@ -108,8 +111,12 @@
         HttpCall.post(engine.getAddress(), "/generate", ProtoJson.bytes(request))
             .headers(List.of(new Header("X-Organisation", job.getOrganisation())))
             .timeouts(CONNECT_MS, PROGRESS_MS, GENERATE_MS);
+    String name = engine.getName();
+    EngineStream stream =
+        new EngineStream(id, clock, (n, ms) -> speeds.observe(name, n, ms, clock.now()));
     try (HttpStream answer = client.open(call)) {
-      Optional<Sample.Builder> sample = new EngineStream(id).read(answer, wanted);
+      Optional<Sample.Builder> sample =
+          stream.read(answer, () -> wanted.getAsBoolean() && !speeds.slow(name, clock.now()));
       if (answer.status() != 200) {
         upstreams.failed(engine, clock.now());
         return Optional.empty();
@@ -138,6 +145,11 @@
     return score.isPresent() || !repeatable ? score : scoreOnce(pool, sampleId, sample, true);
   }
 
+  private boolean suits(PlatformInstance engine, Job job, long minVersion) {
+    return watch.version(engine.getName(), job.getModel()) >= Math.max(1, minVersion)
+        && !speeds.slow(engine.getName(), clock.now());
+  }
+
   private Optional<Double> scoreOnce(
       String pool, String sampleId, Sample.Builder sample, boolean repeatable) {
     Optional<PlatformInstance> scorer =
