--- a/cli/src/test/java/org/marigoldmill/cli/promises/ControlSteps.java
+++ b/cli/src/test/java/org/marigoldmill/cli/promises/ControlSteps.java
@@ -176,6 +176,13 @@
 
   @Then("no order came from a process that was not in charge")
   public void ordersInCharge() {
+    assertThat(
+            world
+                .cluster()
+                .read("ordering", "/refused", OrderList.getDefaultInstance())
+                .getOrdersList())
+        .as("orders with an old fencing number")
+        .isEmpty();
     assertNeverBack(
         orders().stream()
             .map(PlacedOrder::getRequest)
--- a/cli/src/test/java/org/marigoldmill/cli/promises/SystemSteps.java
+++ b/cli/src/test/java/org/marigoldmill/cli/promises/SystemSteps.java
@@ -94,6 +94,19 @@
     fault(standin, FaultKind.DROP_ANSWER, count, "/call");
   }
 
+  @Given("{string} delays {int} request(s) to {string} by {int} milliseconds")
+  public void delays(String standin, int count, String path, int ms) {
+    world
+        .cluster()
+        .fault(
+            standin,
+            Fault.newBuilder()
+                .setKind(FaultKind.DELAY)
+                .setCount(count)
+                .setPath(path)
+                .setDelayMs(ms));
+  }
+
   @Given("{string} crosses the answers to {int} requests")
   public void crosses(String standin, int count) {
     fault(standin, FaultKind.CROSS, count, "/call");
--- a/cli/src/test/resources/org/marigoldmill/cli/promises/07-orders.feature
+++ b/cli/src/test/resources/org/marigoldmill/cli/promises/07-orders.feature
@@ -27,3 +27,14 @@
     Then pool "records" in zone "a" has 3 upstreams
     And 2 upstreams were ordered
     And no order came from a process that was not in charge
+
+  Scenario: the holder is frozen between asking for its order and sending it
+    Given the system
+    And "ordering" delays 1 request to "/orders" by 1200 milliseconds
+    When pool "records" in zone "a" is declared with at least 3 upstreams
+    And an intent of "ordering/a" is open
+    And the holder of "ordering/a" is frozen until another holds it
+    And the frozen holder goes on
+    Then pool "records" in zone "a" has 3 upstreams
+    And 2 upstreams were ordered
+    And no order came from a process that was not in charge
