--- a/server/src/main/java/org/marigoldmill/server/peer/PeerExchange.java
+++ b/server/src/main/java/org/marigoldmill/server/peer/PeerExchange.java
@@ -31,8 +31,8 @@
   private static final long DEADLINE_MS = 800;
   private static final long SNAPSHOT_DEADLINE_MS = 3_000;
   private static final int FAR_ROUND = 2;
-  private static final int MEMBERS_TOLD = 24;
-  private static final int COUNTERS_TOLD = 12;
+  private static final int MEMBERS_TOLD = 16;
+  private static final int COUNTERS_TOLD = 3;
 
   private final MemberTable members;
   private final PeerClient peers;
