--- a/cli/src/main/java/org/marigoldmill/cli/WithdrawCommand.java
+++ b/cli/src/main/java/org/marigoldmill/cli/WithdrawCommand.java
@@ -2,6 +2,7 @@
 
 import joptsimple.OptionParser;
 import joptsimple.OptionSet;
+import org.marigoldmill.core.error.ErrorKind;
 import org.marigoldmill.http.HttpAnswer;
 import org.marigoldmill.http.ProtoJson;
 import org.marigoldmill.schema.operator.PublishOutcome;
@@ -37,6 +38,9 @@
     String hash = Command.argument(options, "the SHA-256 of a key");
     WithdrawRequest request = WithdrawRequest.newBuilder().addSha256(hash).build();
     HttpAnswer answer = OperatorCall.post(options, "/withdrawal", ProtoJson.bytes(request));
+    if (answer.status() == ErrorKind.BAD_REQUEST.status()) {
+      throw new UsageException(answer.text());
+    }
     PublishReply reply = answer.message(PublishReply.getDefaultInstance());
     OperatorCall.print(options, reply, WithdrawCommand::text);
     return reply.getOutcome() == PublishOutcome.IN_FORCE ? ExitCode.DONE : ExitCode.FAILED;
--- a/server/src/main/java/org/marigoldmill/server/Tracing.java
+++ b/server/src/main/java/org/marigoldmill/server/Tracing.java
@@ -29,7 +29,7 @@
    * Creates the tracing of one process.
    *
    * @param instance name of the process
-   * @param exporter where spans go; empty drops them after their identity was passed on
+   * @param exporter where spans go; empty drops them after their identity was passed on and logged
    */
   public Tracing(String instance, Optional<SpanExporter> exporter) {
     var builder =
--- a/server/src/main/java/org/marigoldmill/server/call/CallContext.java
+++ b/server/src/main/java/org/marigoldmill/server/call/CallContext.java
@@ -23,6 +23,7 @@
   private long retryAfterMs;
   private Runnable command = () -> {};
   private long tokens;
+  private long startedAt;
 
   CallContext(
       HttpServerExchange exchange,
@@ -115,6 +116,14 @@
     tokens += count;
   }
 
+  long startedAt() {
+    return startedAt;
+  }
+
+  void startedAt(long now) {
+    startedAt = now;
+  }
+
   long deadline() {
     return arrivedAt + service.getTimeoutMs();
   }
--- a/server/src/main/java/org/marigoldmill/server/call/CallHandler.java
+++ b/server/src/main/java/org/marigoldmill/server/call/CallHandler.java
@@ -9,6 +9,7 @@
 import java.util.Set;
 import java.util.UUID;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.Predicate;
 import org.marigoldmill.core.attempt.RetryBudget;
 import org.marigoldmill.core.config.DeclarationRules;
 import org.marigoldmill.core.error.ErrorKind;
@@ -144,15 +145,16 @@
     }
   }
 
+  /** A connection that went silent says little of its upstream, so that one may be tried again. */
   private Optional<PlatformInstance> acquire(String pool, Attempts attempts) {
+    return acquire(pool, i -> !attempts.visited.contains(i.getName()))
+        .or(() -> attempts.silent ? acquire(pool, i -> true) : Optional.empty());
+  }
+
+  private Optional<PlatformInstance> acquire(String pool, Predicate<PlatformInstance> eligible) {
     return parts
         .upstreams()
-        .acquire(
-            pool,
-            parts.zone(),
-            limits.perUpstream(pool),
-            i -> !attempts.visited.contains(i.getName()),
-            parts.clock().now());
+        .acquire(pool, parts.zone(), limits.perUpstream(pool), eligible, parts.clock().now());
   }
 
   private Outcome attemptAt(PlatformInstance upstream, CallContext call, Attempts attempts) {
@@ -180,6 +182,9 @@
       account(call, delivery, "caller-gone");
       IoUtils.safeClose(call.exchange().getConnection());
       return Outcome.DONE;
+    } catch (RuntimeException e) {
+      parts.upstreams().released(upstream);
+      throw e;
     } finally {
       span.end();
     }
@@ -198,6 +203,7 @@
     boolean notSent = failure.sent() == CallFailure.Sent.NOT_SENT;
     attempts.maybeRun |= !notSent;
     boolean silent = failure.reason() == CallFailure.Reason.SILENT;
+    attempts.silent = silent;
     if (attempts.maybeRun) {
       attempts.lastKind = silent ? ErrorKind.UPSTREAM_SILENT : ErrorKind.UPSTREAM_LOST;
     }
@@ -258,6 +264,7 @@
     private int count;
     private boolean maybeRun;
     private boolean quarantined;
+    private boolean silent;
     private ErrorKind lastKind = ErrorKind.NO_UPSTREAM;
   }
 }
--- a/server/src/main/java/org/marigoldmill/server/call/Gatekeeper.java
+++ b/server/src/main/java/org/marigoldmill/server/call/Gatekeeper.java
@@ -62,7 +62,7 @@
 
   /** Ends a call that was started. */
   void release(CallContext call) {
-    long duration = clock.now() - call.arrivedAt();
+    long duration = clock.now() - call.startedAt();
     double cost = Math.max(MEAN_COST, (double) call.tokens());
     startAll(admission.release(call.ticket(), cost, duration));
   }
@@ -94,6 +94,7 @@
 
   private void start(Ticket ticket) {
     CallContext call = waiting.remove(ticket.id());
+    call.startedAt(clock.now());
     try {
       workers.execute(call.command());
     } catch (RejectedExecutionException e) {
--- a/server/src/main/java/org/marigoldmill/server/operator/OperatorServer.java
+++ b/server/src/main/java/org/marigoldmill/server/operator/OperatorServer.java
@@ -4,6 +4,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.regex.Pattern;
 import org.marigoldmill.core.error.ErrorKind;
 import org.marigoldmill.core.error.MarigoldmillException;
 import org.marigoldmill.core.key.KeyDirectory;
@@ -19,6 +20,7 @@
 
 /** Serves operators: metrics, health, state, publications and drain. */
 public final class OperatorServer implements AutoCloseable {
+  private static final Pattern SHA256 = Pattern.compile("[0-9a-f]{64}");
   private static final String METRICS_TYPE = "text/plain; version=0.0.4; charset=utf-8";
 
   /** Where the answers come from. */
@@ -78,8 +80,9 @@
     WithdrawRequest request = question.message(WithdrawRequest.getDefaultInstance());
     List<String> hashes = new ArrayList<>(request.getSha256List());
     request.getKeysList().forEach(k -> hashes.add(KeyDirectory.hash(k)));
-    if (hashes.isEmpty()) {
-      throw MarigoldmillException.of(ErrorKind.BAD_REQUEST, "expected a key hash to withdraw");
+    if (hashes.isEmpty() || !hashes.stream().allMatch(h -> SHA256.matcher(h).matches())) {
+      throw MarigoldmillException.of(
+          ErrorKind.BAD_REQUEST, "expected the SHA-256 of a key as 64 hexadecimal digits");
     }
     return status(answers.withdraw(hashes));
   }
