--- a/core/src/main/java/org/marigoldmill/core/placement/Engine.java
+++ b/core/src/main/java/org/marigoldmill/core/placement/Engine.java
@@ -14,7 +14,6 @@
  * @param draining whether it is leaving
  * @param reclaimable whether the platform may take it away at short notice
  * @param versions version of the weights of each model, empty for a plain upstream
- * @param ordersAccepted orders that it had accepted in this life
  */
 public record Engine(
     String id,
@@ -25,8 +24,7 @@
     int slots,
     boolean draining,
     boolean reclaimable,
-    Map<String, Long> versions,
-    long ordersAccepted) {
+    Map<String, Long> versions) {
 
   /** Returns the version of a model's weights, or 0 when it serves another model only. */
   public long version(String model) {
--- a/server/src/main/java/org/marigoldmill/server/deployment/UpstreamProtocol.java
+++ b/server/src/main/java/org/marigoldmill/server/deployment/UpstreamProtocol.java
@@ -1,6 +1,7 @@
 package org.marigoldmill.server.deployment;
 
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
 import org.marigoldmill.core.weights.WeightPlan;
@@ -45,6 +46,15 @@
    */
   record Load(int running, int waiting) {}
 
+  /**
+   * What an engine says of itself when asked, some hundred milliseconds late.
+   *
+   * @param busy whether it carries out an order
+   * @param ordersAccepted orders that it has accepted in this life
+   * @param versions version of the weights of each model
+   */
+  record Report(boolean busy, long ordersAccepted, Map<String, Long> versions) {}
+
   /** What an upstream answered to an order for weights. */
   enum OrderAnswer {
     /** The order is being carried out. */
@@ -78,6 +88,12 @@
   /** Returns the load that an answer tells. */
   Optional<Load> load(List<HttpCall.Header> headers);
 
+  /** Returns the call that asks an engine about itself. */
+  HttpCall report(String address);
+
+  /** Returns an engine's report, when the answer holds one. */
+  Optional<Report> report(HttpAnswer answer);
+
   /** Returns the call that orders other weights. */
   HttpCall order(
       String address,
--- a/server/src/main/java/org/marigoldmill/server/duty/WeightDuty.java
+++ b/server/src/main/java/org/marigoldmill/server/duty/WeightDuty.java
@@ -4,6 +4,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import org.marigoldmill.core.placement.Engine;
 import org.marigoldmill.core.weights.EngineVersions;
 import org.marigoldmill.core.weights.WeightPlan;
@@ -27,6 +28,11 @@
   private static final long CONNECT_MS = 150;
   private static final long RETRY_MS = 300;
 
+  /** An engine's report lags, so it counts only this long after the last order there. */
+  private static final long REPORT_LAG_MS = 700;
+
+  private record Life(String engine, long incarnation) {}
+
   private final DutyLeaseHolder lease;
   private final DeploymentState deployment;
   private final EngineRegistry registry;
@@ -39,7 +45,7 @@
   private final WeightPlan plan;
   private final String instance;
   private final Clock clock;
-  private final Map<String, Long> acceptedOrders = new HashMap<>();
+  private final Map<Life, Long> ordersAccepted = new HashMap<>();
   private final Map<String, Long> pausedUntil = new HashMap<>();
 
   /** Creates the duty over its parts. */
@@ -116,9 +122,13 @@
     if (engine == null || !lease.holds(SEND_LIMIT_MS)) {
       return;
     }
-    long expected =
-        Math.max(engine.ordersAccepted(), acceptedOrders.getOrDefault(engine.id(), 0L));
-    long epoch = lease.enter(SEND_LIMIT_MS);
+    Optional<Long> known = expected(engine);
+    if (known.isEmpty()) {
+      pausedUntil.put(engine.id(), clock.now() + RETRY_MS);
+      return;
+    }
+    long expected = known.get();
+    final long epoch = lease.enter(SEND_LIMIT_MS);
     HttpCall call =
         protocol
             .order(engine.address(), engine.id(), order, instance, epoch, expected)
@@ -128,7 +138,7 @@
       HttpAnswer answer = client.exchange(call);
       settle(engine, order, expected, epoch, protocol.orderAnswer(answer), answer.status());
     } catch (CallFailure e) {
-      pausedUntil.put(engine.id(), clock.now() + RETRY_MS);
+      unsettled(engine);
       logger.atWarning().log(
           "weights order unanswered engine=%s model=%s version=%d epoch=%d expected=%d cause=%s",
           engine.id(), order.model(), order.version(), epoch, expected, e.getMessage());
@@ -147,7 +157,7 @@
         engine.id(), order.model(), order.version(), epoch, expected, answer, status);
     switch (answer) {
       case ACCEPTED -> {
-        acceptedOrders.put(engine.id(), expected + 1);
+        ordersAccepted.put(life(engine), expected + 1);
         versions.ordered(engine.id(), order.model(), order.version(), clock.now());
         fleet.ordered(
             OrderedWeights.newBuilder()
@@ -158,7 +168,41 @@
                 .build());
       }
       case HOLDS -> versions.seen(engine.id(), order.model(), order.version());
-      default -> pausedUntil.put(engine.id(), clock.now() + RETRY_MS);
+      default -> unsettled(engine);
+    }
+  }
+
+  /** Returns the orders that an engine has accepted in this life, if that is known. */
+  private Optional<Long> expected(Engine engine) {
+    Long counted = ordersAccepted.get(life(engine));
+    if (counted != null) {
+      return Optional.of(counted);
     }
+    HttpCall call =
+        protocol.report(engine.address()).timeouts(CONNECT_MS, SEND_LIMIT_MS, SEND_LIMIT_MS);
+    try {
+      Optional<UpstreamProtocol.Report> report = protocol.report(client.exchange(call));
+      logger.atInfo().log("engine reported engine=%s report=%s", engine.id(), report);
+      report.ifPresent(
+          r -> r.versions().forEach((model, v) -> versions.seen(engine.id(), model, v)));
+      Optional<Long> told =
+          report.filter(r -> !r.busy()).map(UpstreamProtocol.Report::ordersAccepted);
+      told.ifPresent(n -> ordersAccepted.put(life(engine), n));
+      return told;
+    } catch (CallFailure e) {
+      logger.atInfo().log(
+          "engine not reached engine=%s cause=%s", engine.id(), e.getMessage());
+      return Optional.empty();
+    }
+  }
+
+  /** Asks the engine again before the next order, once its report shows the last one. */
+  private void unsettled(Engine engine) {
+    ordersAccepted.remove(life(engine));
+    pausedUntil.put(engine.id(), clock.now() + REPORT_LAG_MS);
+  }
+
+  private static Life life(Engine engine) {
+    return new Life(engine.id(), engine.incarnation());
   }
 }
