--- a/core/src/main/java/org/marigoldmill/core/submission/PartitionState.java
+++ b/core/src/main/java/org/marigoldmill/core/submission/PartitionState.java
@@ -146,9 +146,7 @@
     List<KeyedRecord> records = new ArrayList<>();
     IntStream.range(0, chunks.size())
         .mapToObj(
-            i ->
-                KeyedRecord.of(
-                    SubmissionKey.chunk(head.getId(), i), chunks.get(i).toByteArray()))
+            i -> KeyedRecord.of(SubmissionKey.chunk(head.getId(), i), chunks.get(i).toByteArray()))
         .forEach(records::add);
     Submission sized =
         head.toBuilder().setItemCount(items.size()).setChunkCount(chunks.size()).build();
--- a/http/src/main/java/org/marigoldmill/http/HttpServer.java
+++ b/http/src/main/java/org/marigoldmill/http/HttpServer.java
@@ -84,13 +84,13 @@
 
   /** Adds a GET route. */
   public HttpServer get(String path, Route route) {
-    routes.get(path, new BlockingHandler(handler(route)));
+    routes.get(path, new BlockingHandler(answering(route)));
     return this;
   }
 
   /** Adds a POST route. */
   public HttpServer post(String path, Route route) {
-    routes.post(path, new BlockingHandler(handler(route)));
+    routes.post(path, new BlockingHandler(answering(route)));
     return this;
   }
 
@@ -163,7 +163,7 @@
     builder.setServerOption(option, all.get(option));
   }
 
-  private static HttpHandler handler(Route route) {
+  private static HttpHandler answering(Route route) {
     return exchange -> send(exchange, answer(route, exchange));
   }
 
--- a/server/src/main/java/org/marigoldmill/server/Clock.java
+++ b/server/src/main/java/org/marigoldmill/server/Clock.java
@@ -18,7 +18,6 @@
    * further. A time of day that is set ahead makes this clock jump, which only ends leases early.
    */
   static Clock suspendAware() {
-    return new SuspendAwareClock(
-        () -> System.nanoTime() / 1_000_000, System::currentTimeMillis);
+    return new SuspendAwareClock(() -> System.nanoTime() / 1_000_000, System::currentTimeMillis);
   }
 }
--- a/server/src/main/java/org/marigoldmill/server/DeploymentInstance.java
+++ b/server/src/main/java/org/marigoldmill/server/DeploymentInstance.java
@@ -119,8 +119,7 @@
             settings.getLeaseTtlMs(),
             settings.getTurnGuardMs(),
             Clock.suspendAware());
-    FleetLog fleet =
-        new FleetLog(ports.store(), settings.getInstance(), registry, versions, clock);
+    FleetLog fleet = new FleetLog(ports.store(), settings.getInstance(), registry, versions, clock);
     HttpClient client = opened(HttpClient.create("upstreams", 1));
     UpstreamSender sender = new UpstreamSender(client, ports.upstreams(), upstreams, clock);
     Forwarder forwarder = new Forwarder(registry, upstreams, sender, settings.getZone(), clock);
@@ -138,13 +137,11 @@
             metrics,
             settings.getZone(),
             clock);
-    UsageCounter usage =
-        new UsageCounter(settings.getUsageWindowMs(), System::currentTimeMillis);
+    UsageCounter usage = new UsageCounter(settings.getUsageWindowMs(), System::currentTimeMillis);
     SubmissionService submissions =
         new SubmissionService(partitions, ports.callers(), chunkBytes(), clock);
     this.gateway =
-        new Gateway(
-            ports.callers(), deployment, forwarder, submissions, usage, metrics, clock);
+        new Gateway(ports.callers(), deployment, forwarder, submissions, usage, metrics, clock);
     serve(readyPath);
     follow(fleet);
     startDuties(fleet, usage, shares, client);
@@ -179,8 +176,7 @@
     }
     final long until = clock.now() + settings.getGraceMs() - STOP_RESERVE_MS;
     final long noticed = clock.now() + BALANCER_NOTICE_MS;
-    logger.atInfo().log(
-        "stopping open=%d items=%d", gateway.open(), rollouts.running());
+    logger.atInfo().log("stopping open=%d items=%d", gateway.open(), rollouts.running());
     gateway.drain();
     rollouts.stopStarting();
     lease.release();
@@ -242,8 +238,7 @@
         throw e;
       }
       logger.atWarning().log(
-          "metrics not served address=%s cause=%s",
-          settings.getMetricsAddress(), e.getMessage());
+          "metrics not served address=%s cause=%s", settings.getMetricsAddress(), e.getMessage());
     }
     metrics.gauge(
         "config_version",
--- a/server/src/main/java/org/marigoldmill/server/batch/ItemRunner.java
+++ b/server/src/main/java/org/marigoldmill/server/batch/ItemRunner.java
@@ -114,10 +114,7 @@
             text.lastEvent(),
             RUN_MS);
     HttpCall call =
-        sender
-            .protocol()
-            .call(engine.address(), attempt)
-            .timeouts(CONNECT_MS, SILENCE_MS, RUN_MS);
+        sender.protocol().call(engine.address(), attempt).timeouts(CONNECT_MS, SILENCE_MS, RUN_MS);
     try (HttpStream stream = sender.open(call, attempt)) {
       task.streaming(Optional.of(stream));
       return take(task, engine, stream);
@@ -162,9 +159,7 @@
     for (int n = stream.read(chunk); n >= 0; n = stream.read(chunk)) {
       for (GeneratedEvent event : reader.read(chunk, n)) {
         task.text().append(event);
-        event
-            .version()
-            .ifPresent(v -> versions.seen(engine.id(), task.submission().getModel(), v));
+        event.version().ifPresent(v -> versions.seen(engine.id(), task.submission().getModel(), v));
         events++;
       }
     }
@@ -273,14 +268,7 @@
     DeploymentConfig config = deployment.config().orElseThrow();
     Optional<Route> route = config.route(reward.getHost(), reward.getPath());
     if (route.isEmpty()) {
-      return new Forwarder.Outcome(
-          Optional.empty(),
-          ErrorKind.NOT_FOUND,
-          0,
-          false,
-          0,
-          0,
-          "");
+      return new Forwarder.Outcome(Optional.empty(), ErrorKind.NOT_FOUND, 0, false, 0, 0, "");
     }
     return forwarder.forward(
         new Forwarder.Request(
--- a/server/src/main/java/org/marigoldmill/server/batch/ModelShares.java
+++ b/server/src/main/java/org/marigoldmill/server/batch/ModelShares.java
@@ -23,8 +23,7 @@
   private final Partitions partitions;
 
   /** Creates the computation over what this instance knows. */
-  public ModelShares(
-      DeploymentState deployment, EngineRegistry registry, Partitions partitions) {
+  public ModelShares(DeploymentState deployment, EngineRegistry registry, Partitions partitions) {
     this.deployment = deployment;
     this.registry = registry;
     this.partitions = partitions;
@@ -43,9 +42,7 @@
     Map<String, List<Engine>> shares = new HashMap<>();
     List<DeploymentConfig.Service> services =
         deployment.config().map(DeploymentConfig::services).orElse(List.of());
-    services.stream()
-        .filter(s -> !s.models().isEmpty())
-        .forEach(s -> divide(s, newest, shares));
+    services.stream().filter(s -> !s.models().isEmpty()).forEach(s -> divide(s, newest, shares));
     return shares;
   }
 
@@ -70,8 +67,7 @@
                     Optional.ofNullable(newest.get(m))
                         .map(s -> (double) s.getWorkTokens())
                         .orElse(known)));
-    EngineShares divided =
-        EngineShares.divide(engines.stream().map(Engine::id).toList(), demand);
+    EngineShares divided = EngineShares.divide(engines.stream().map(Engine::id).toList(), demand);
     for (String model : service.models()) {
       Set<String> ids = divided.engines(model);
       shares.put(model, engines.stream().filter(e -> ids.contains(e.id())).toList());
--- a/server/src/main/java/org/marigoldmill/server/batch/Rollouts.java
+++ b/server/src/main/java/org/marigoldmill/server/batch/Rollouts.java
@@ -28,8 +28,7 @@
       Clock clock) {
     EngineLoads loads = new EngineLoads();
     ItemRunner runner =
-        new ItemRunner(
-            deployment, loads, versions, sender, forwarder, partitions, metrics, clock);
+        new ItemRunner(deployment, loads, versions, sender, forwarder, partitions, metrics, clock);
     this.scheduler =
         new RolloutScheduler(
             partitions, membership, shares, loads, versions, runner, executor, zone, clock);
--- a/server/src/main/java/org/marigoldmill/server/deployment/EngineRegistry.java
+++ b/server/src/main/java/org/marigoldmill/server/deployment/EngineRegistry.java
@@ -102,7 +102,8 @@
   /** Keeps an engine whose record cannot be read; a record of another writer says nothing of it. */
   private void remove(StoredRecord stored, Engine before) {
     if (stored.value().isPresent()) {
-      logger.atWarning().log("engine record unreadable id=%s known=%s", stored.key(), before != null);
+      logger.atWarning().log(
+          "engine record unreadable id=%s known=%s", stored.key(), before != null);
       return;
     }
     if (before != null) {
--- a/server/src/main/java/org/marigoldmill/server/duty/DutyLeaseHolder.java
+++ b/server/src/main/java/org/marigoldmill/server/duty/DutyLeaseHolder.java
@@ -154,8 +154,7 @@
     if (appended.outcome() == LogStore.Outcome.STORED) {
       byte[] value = lease.toByteArray();
       follower.appended(
-          appended.offset(),
-          List.of(new StoredRecord(appended.offset(), "", Optional.of(value))));
+          appended.offset(), List.of(new StoredRecord(appended.offset(), "", Optional.of(value))));
     } else {
       logger.atInfo().log(
           "duty lease not claimed at=%d epoch=%d outcome=%s",
--- a/server/src/main/java/org/marigoldmill/server/duty/FleetLog.java
+++ b/server/src/main/java/org/marigoldmill/server/duty/FleetLog.java
@@ -60,8 +60,7 @@
 
   /** Tells the usage that this instance counted in a window. */
   public LogStore.Outcome tally(long window, Map<String, Long> counts) {
-    UsageTally tally =
-        UsageTally.newBuilder().setWindow(window).addAllUsage(usage(counts)).build();
+    UsageTally tally = UsageTally.newBuilder().setWindow(window).addAllUsage(usage(counts)).build();
     return append(FleetRecord.newBuilder().setTally(tally));
   }
 
@@ -110,9 +109,10 @@
   }
 
   private void add(UsageTally tally) {
-    Map<String, Long> counts =
-        tallies.computeIfAbsent(tally.getWindow(), w -> new HashMap<>());
-    tally.getUsageList().forEach(u -> counts.merge(u.getOrganisation(), u.getRequests(), Long::sum));
+    Map<String, Long> counts = tallies.computeIfAbsent(tally.getWindow(), w -> new HashMap<>());
+    tally
+        .getUsageList()
+        .forEach(u -> counts.merge(u.getOrganisation(), u.getRequests(), Long::sum));
   }
 
   private void note(OrderedWeights order) {
@@ -126,8 +126,7 @@
   private LogStore.Outcome append(FleetRecord.Builder told) {
     byte[] value = told.setInstance(instance).build().toByteArray();
     return store
-        .append(
-            TOPIC, 0, OptionalLong.empty(), List.of(new KeyedRecord("", Optional.of(value))))
+        .append(TOPIC, 0, OptionalLong.empty(), List.of(new KeyedRecord("", Optional.of(value))))
         .outcome();
   }
 
--- a/server/src/main/java/org/marigoldmill/server/duty/UsageDuty.java
+++ b/server/src/main/java/org/marigoldmill/server/duty/UsageDuty.java
@@ -102,7 +102,6 @@
       reported.add(window);
     }
     logger.atInfo().log(
-        "usage reported window=%d epoch=%d counts=%s accepted=%s",
-        window, epoch, counts, accepted);
+        "usage reported window=%d epoch=%d counts=%s accepted=%s", window, epoch, counts, accepted);
   }
 }
--- a/server/src/main/java/org/marigoldmill/server/duty/WeightDuty.java
+++ b/server/src/main/java/org/marigoldmill/server/duty/WeightDuty.java
@@ -190,8 +190,7 @@
       told.ifPresent(n -> ordersAccepted.put(life(engine), n));
       return told;
     } catch (CallFailure e) {
-      logger.atInfo().log(
-          "engine not reached engine=%s cause=%s", engine.id(), e.getMessage());
+      logger.atInfo().log("engine not reached engine=%s cause=%s", engine.id(), e.getMessage());
       return Optional.empty();
     }
   }
--- a/server/src/main/java/org/marigoldmill/server/gateway/Forwarder.java
+++ b/server/src/main/java/org/marigoldmill/server/gateway/Forwarder.java
@@ -169,8 +169,7 @@
     }
 
     private boolean attempt(Engine target, long remaining) {
-      PlatformInstance instance =
-          PlatformInstance.newBuilder().setName(target.id()).build();
+      PlatformInstance instance = PlatformInstance.newBuilder().setName(target.id()).build();
       attempts++;
       Attempt attempt =
           new Attempt(
@@ -189,7 +188,8 @@
       HttpCall timed = call.timeouts(CONNECT_MS, patience, patience);
       try {
         HttpAnswer got =
-            sender.exchange(request.route().repeatable() ? timed : timed.onFreshConnection(), attempt);
+            sender.exchange(
+                request.route().repeatable() ? timed : timed.onFreshConnection(), attempt);
         return judge(instance, got);
       } catch (CallFailure e) {
         upstreams.failed(instance, clock.now());
@@ -273,5 +273,4 @@
   private static boolean promises(int status) {
     return status == 408 || status == 421 || status == 429 || status == 503;
   }
-
 }
--- a/server/src/main/java/org/marigoldmill/server/gateway/Gateway.java
+++ b/server/src/main/java/org/marigoldmill/server/gateway/Gateway.java
@@ -191,13 +191,19 @@
       organisation.ifPresent(usage::began);
     }
     String detail =
-        "engine=" + outcome.engine() + " attempts=" + outcome.attempts() + " kind=" + outcome.kind();
+        "engine="
+            + outcome.engine()
+            + " attempts="
+            + outcome.attempts()
+            + " kind="
+            + outcome.kind();
     HttpAnswer answer =
         outcome
             .answer()
             .map(a -> new HttpAnswer(a.status(), protocol.returned(a.headers()), a.body()))
             .orElseGet(() -> protocol.refusal(outcome.kind(), outcome.retryAfterMs()));
-    return new Handled(answer, service, outcome.answer().isPresent() ? detail : "refused " + detail);
+    return new Handled(
+        answer, service, outcome.answer().isPresent() ? detail : "refused " + detail);
   }
 
   private String organisation(DeploymentConfig config, HttpServerExchange exchange) {
--- a/server/src/main/java/org/marigoldmill/server/gateway/SubmissionService.java
+++ b/server/src/main/java/org/marigoldmill/server/gateway/SubmissionService.java
@@ -114,7 +114,8 @@
       results = settled(replica).results(id);
     }
     int from = Math.min(question.after(), results.size());
-    return protocol.results(submission, question.after(), page(results.subList(from, results.size())));
+    return protocol.results(
+        submission, question.after(), page(results.subList(from, results.size())));
   }
 
   private static List<ItemResult> page(List<ItemResult> results) {
@@ -152,8 +153,7 @@
     return answered(result, 200);
   }
 
-  private PartitionReplica.Result commit(
-      PartitionReplica replica, PartitionReplica.Change change) {
+  private PartitionReplica.Result commit(PartitionReplica replica, PartitionReplica.Change change) {
     try {
       return replica.commit(change, COMMIT_MS).get();
     } catch (InterruptedException e) {
--- a/server/src/main/java/org/marigoldmill/server/store/LogStore.java
+++ b/server/src/main/java/org/marigoldmill/server/store/LogStore.java
@@ -58,8 +58,7 @@
    *
    * @param expectedEnd offset at which the partition must end, or empty for any
    */
-  Appended append(
-      Topic topic, int partition, OptionalLong expectedEnd, List<KeyedRecord> records);
+  Appended append(Topic topic, int partition, OptionalLong expectedEnd, List<KeyedRecord> records);
 
   /**
    * Reads records from an offset on, waiting for one to come.
--- a/server/src/main/java/org/marigoldmill/server/store/PartitionFollower.java
+++ b/server/src/main/java/org/marigoldmill/server/store/PartitionFollower.java
@@ -134,8 +134,7 @@
       return true;
     }
     synchronized (this) {
-      List<StoredRecord> fresh =
-          read.records().stream().filter(r -> r.offset() >= next).toList();
+      List<StoredRecord> fresh = read.records().stream().filter(r -> r.offset() >= next).toList();
       boolean gap = !fresh.isEmpty() && fresh.get(0).offset() > next;
       if (!loaded || gap) {
         return true;
--- a/server/src/main/java/org/marigoldmill/server/store/PartitionReplica.java
+++ b/server/src/main/java/org/marigoldmill/server/store/PartitionReplica.java
@@ -217,8 +217,7 @@
   }
 
   private static boolean disjoint(List<KeyedRecord> records, List<KeyedRecord> more) {
-    return more.stream()
-        .noneMatch(m -> records.stream().anyMatch(r -> r.key().equals(m.key())));
+    return more.stream().noneMatch(m -> records.stream().anyMatch(r -> r.key().equals(m.key())));
   }
 
   private static long size(KeyedRecord keyed) {
