--- a/core/src/main/java/org/marigoldmill/core/weights/EngineVersions.java
+++ b/core/src/main/java/org/marigoldmill/core/weights/EngineVersions.java
@@ -64,6 +64,12 @@
         && now - order.at() < LOAD_MS;
   }
 
+  /** Returns how many engines are probably loading. */
+  public synchronized int loading(long now) {
+    return (int)
+        orders.keySet().stream().filter(p -> loading(p.engine(), p.model(), now)).count();
+  }
+
   /** Forgets an engine that is gone. */
   public synchronized void forget(String engine) {
     seen.keySet().removeIf(p -> p.engine().equals(engine));
--- a/core/src/main/java/org/marigoldmill/core/weights/WeightPlan.java
+++ b/core/src/main/java/org/marigoldmill/core/weights/WeightPlan.java
@@ -1,78 +1,88 @@
 package org.marigoldmill.core.weights;
 
-import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
 
 /**
- * Decides which engines take the newest weights of their model now.
+ * Decides which engines of one model should load its newest weights now.
  *
- * <p>An engine that is too old for every open item is useless until it has loaded, so it loads at
- * once. An engine that open items can still use loads only while its model has nothing to generate,
- * because a load stops generation. At most a few load at a time, since loads slow each other.
+ * <p>An engine that is too old for items that wait loads at once. An engine that they can still use
+ * loads only while it runs nothing and nothing waits, because a load stops generation. Then one
+ * engine of the share is left out, so that a step that comes meanwhile can start.
  */
 public final class WeightPlan {
-  private final int parallelLoads;
 
   /**
-   * An engine in the share of one model.
+   * An engine in the share of the model.
    *
    * @param engine id of the engine
-   * @param model model that it serves
    * @param version version of the weights that it has, or has been ordered to load
    * @param loading whether an order is in progress there
+   * @param running items that run there
    */
-  public record Place(String engine, String model, long version, boolean loading) {}
+  public record Place(String engine, long version, boolean loading, int running) {}
 
   /**
-   * What the open submissions of a model ask for.
+   * What waits for the model's engines.
    *
    * @param model the model
    * @param newestVersion newest version that its trainer has named; 0 for none
-   * @param oldestUsable oldest version that some open item accepts
-   * @param strictest oldest version that every open item accepts
-   * @param openItems items that are not finished
+   * @param strictest oldest version that every waiting item accepts; 0 when none waits
+   * @param waiting items that wait for a place
+   * @param singleVersion whether an item must not mix versions
    */
   public record Demand(
-      String model, long newestVersion, long oldestUsable, long strictest, int openItems) {}
-
-  /** An order to load weights. */
-  public record Order(String engine, String model, long version) {}
+      String model, long newestVersion, long strictest, int waiting, boolean singleVersion) {}
 
   /**
-   * Creates a plan.
+   * A load that is wanted.
    *
-   * @param parallelLoads engines that may load at the same time, at least 1
+   * @param engine engine that should load
+   * @param model the model
+   * @param version version to load
+   * @param urgent whether items that wait cannot run on the engine before
+   * @param keepRuns whether runs in progress go on under the new version
    */
-  public WeightPlan(int parallelLoads) {
-    this.parallelLoads = parallelLoads;
-  }
+  public record Load(
+      String engine, String model, long version, boolean urgent, boolean keepRuns) {}
+
+  private WeightPlan() {}
 
   /**
-   * Returns the orders to give now, most urgent first.
+   * Returns the loads that are wanted now, most urgent first.
    *
-   * @param places all engines, each in the share of its model
-   * @param demands one for each model
+   * @param places engines in the share of the model
+   * @param demand what waits for them
    */
-  public List<Order> due(List<Place> places, List<Demand> demands) {
-    long loading = places.stream().filter(Place::loading).count();
-    record Candidate(Place place, Demand demand, boolean useless) {}
-
-    List<Candidate> candidates = new ArrayList<>();
-    for (Demand demand : demands) {
-      places.stream()
-          .filter(p -> p.model().equals(demand.model()) && !p.loading())
-          .filter(p -> p.version() < demand.newestVersion())
-          .map(p -> new Candidate(p, demand, p.version() < demand.strictest()))
-          .filter(c -> c.useless() || demand.openItems() == 0)
-          .forEach(candidates::add);
+  public static List<Load> wanted(List<Place> places, Demand demand) {
+    List<Place> old =
+        places.stream()
+            .filter(p -> !p.loading() && p.version() < demand.newestVersion())
+            .sorted(Comparator.comparingLong(Place::version).thenComparing(Place::engine))
+            .toList();
+    List<Load> urgent =
+        old.stream()
+            .filter(p -> demand.waiting() > 0 && p.version() < demand.strictest())
+            .map(p -> load(p, demand, true))
+            .toList();
+    if (!urgent.isEmpty() || demand.waiting() > 0) {
+      return urgent;
     }
-    Comparator<Candidate> uselessFirst = Comparator.comparing(c -> !c.useless());
-    Comparator<Candidate> oldestFirst = Comparator.comparingLong(c -> c.place().version());
-    return candidates.stream()
-        .sorted(uselessFirst.thenComparing(oldestFirst).thenComparing(c -> c.place().engine()))
-        .limit(Math.max(0, parallelLoads - loading))
-        .map(c -> new Order(c.place().engine(), c.demand().model(), c.demand().newestVersion()))
+    long available = places.stream().filter(p -> !p.loading()).count();
+    long spare = places.size() > 1 ? available - 1 : available;
+    return old.stream()
+        .filter(p -> p.running() == 0)
+        .limit(Math.max(0, spare))
+        .map(p -> load(p, demand, false))
         .toList();
   }
+
+  private static Load load(Place place, Demand demand, boolean urgent) {
+    return new Load(
+        place.engine(),
+        demand.model(),
+        demand.newestVersion(),
+        urgent,
+        !demand.singleVersion());
+  }
 }
--- a/server/src/main/java/org/marigoldmill/server/DeploymentInstance.java
+++ b/server/src/main/java/org/marigoldmill/server/DeploymentInstance.java
@@ -16,7 +16,7 @@
 import org.marigoldmill.core.route.DeploymentConfig;
 import org.marigoldmill.core.routing.UpstreamTable;
 import org.marigoldmill.core.weights.EngineVersions;
-import org.marigoldmill.core.weights.WeightPlan;
+import org.marigoldmill.core.weights.LoadQueue;
 import org.marigoldmill.http.HttpAnswer;
 import org.marigoldmill.http.HttpClient;
 import org.marigoldmill.http.HttpServer;
@@ -119,7 +119,9 @@
             settings.getLeaseTtlMs(),
             settings.getTurnGuardMs(),
             Clock.suspendAware());
-    FleetLog fleet = new FleetLog(ports.store(), settings.getInstance(), registry, versions, clock);
+    final LoadQueue loads = new LoadQueue(settings.getParallelLoads());
+    final FleetLog fleet =
+        new FleetLog(ports.store(), settings.getInstance(), registry, versions, loads, clock);
     HttpClient client = opened(HttpClient.create("upstreams", 1));
     UpstreamSender sender = new UpstreamSender(client, ports.upstreams(), upstreams, clock);
     Forwarder forwarder = new Forwarder(registry, upstreams, sender, settings.getZone(), clock);
@@ -133,6 +135,7 @@
             versions,
             sender,
             forwarder,
+            fleet,
             pool("items", MOST_TASKS),
             metrics,
             settings.getZone(),
@@ -144,7 +147,7 @@
         new Gateway(ports.callers(), deployment, forwarder, submissions, usage, metrics, clock);
     serve(readyPath);
     follow(fleet);
-    startDuties(fleet, usage, shares, client);
+    startDuties(fleet, usage, loads, client);
   }
 
   /**
@@ -278,25 +281,23 @@
   }
 
   private void startDuties(
-      FleetLog fleet, UsageCounter usage, ModelShares shares, HttpClient client) {
+      FleetLog fleet, UsageCounter usage, LoadQueue loads, HttpClient client) {
     duty(settings.getGroupTtlMs() / 3, "membership", membership::runRound);
     duty(TICK_MS, "lease", lease::runRound);
     duty(0, "rollouts", rollouts::runRound);
     WeightDuty weights =
         new WeightDuty(
             lease,
-            deployment,
             registry,
             versions,
-            shares,
-            partitions,
             fleet,
             ports.upstreams(),
             client,
-            new WeightPlan(settings.getParallelLoads()),
+            loads,
             settings.getInstance(),
             clock);
     duty(TICK_MS, "weights", weights::runRound);
+    duty(TICK_MS, "weight-plan", rollouts::planWeights);
     if (settings.getUsageWindowMs() > 0 && ports.duties().isPresent()) {
       UsageDuty reports =
           new UsageDuty(
--- a/server/src/main/java/org/marigoldmill/server/batch/ItemRunner.java
+++ b/server/src/main/java/org/marigoldmill/server/batch/ItemRunner.java
@@ -75,7 +75,9 @@
     try {
       whole = generate(task, engine);
     } catch (CallFailure e) {
-      loads.failed(engine.id(), clock.now());
+      if (!task.moving() && !task.cancelled()) {
+        loads.failed(engine.id(), clock.now());
+      }
       ended(task, engine, "lost " + e.reason());
     } catch (RuntimeException e) {
       loads.failed(engine.id(), clock.now());
@@ -90,7 +92,7 @@
     } catch (RuntimeException e) {
       logger.atWarning().withCause(e).log("item result id=%s", task.item().getId());
     } finally {
-      task.paused(clock.now() + RETRY_MS);
+      task.paused(task.moving() ? clock.now() : clock.now() + RETRY_MS);
       partitions.changed();
     }
   }
@@ -155,18 +157,25 @@
     EventReader reader = new EventReader(sender.protocol().versionField());
     byte[] chunk = new byte[CHUNK_BYTES];
     final long startedAt = clock.now();
+    long lastAt = startedAt;
     int events = 0;
     for (int n = stream.read(chunk); n >= 0; n = stream.read(chunk)) {
-      for (GeneratedEvent event : reader.read(chunk, n)) {
+      List<GeneratedEvent> fresh = reader.read(chunk, n);
+      if (!fresh.isEmpty()) {
+        long now = clock.now();
+        boolean loaded = fresh.stream().anyMatch(e -> e.version().isPresent());
+        if (events > 0 && !loaded) {
+          loads.progressed(engine.id(), Math.max(1.0, (double) (now - lastAt) / fresh.size()));
+        }
+        lastAt = now;
+      }
+      for (GeneratedEvent event : fresh) {
         task.text().append(event);
         event.version().ifPresent(v -> versions.seen(engine.id(), task.submission().getModel(), v));
         events++;
       }
     }
     long took = clock.now() - startedAt;
-    if (events > 0) {
-      loads.progressed(engine.id(), Math.max(1.0, (double) took / events));
-    }
     boolean whole = !reader.inside() && task.text().lastEvent().isPresent();
     if (!whole) {
       ended(task, engine, "stream ended inside an event");
@@ -206,12 +215,14 @@
 
   private void ended(ItemTask task, Engine engine, String why) {
     logger.atInfo().log(
-        "item attempt ended id=%s submission=%s engine=%s last_event=%s cancelled=%s cause=%s",
+        "item attempt ended id=%s submission=%s engine=%s last_event=%s cancelled=%s moving=%s"
+            + " cause=%s",
         task.item().getId(),
         task.submission().getId(),
         engine.id(),
         last(task.text().lastEvent()),
         task.cancelled(),
+        task.moving(),
         why);
   }
 
--- a/server/src/main/java/org/marigoldmill/server/batch/ItemTask.java
+++ b/server/src/main/java/org/marigoldmill/server/batch/ItemTask.java
@@ -14,6 +14,9 @@
   private final GeneratedText text = new GeneratedText();
   private volatile boolean running;
   private volatile boolean cancelled;
+  private volatile boolean moving;
+  private volatile String engine = "";
+  private volatile long startedAt;
   private volatile long notBefore = Long.MIN_VALUE;
   private HttpStream stream;
   private int failures;
@@ -37,6 +40,10 @@
     return index;
   }
 
+  long expectedTokens() {
+    return item.getExpectedTokens();
+  }
+
   GeneratedText text() {
     return text;
   }
@@ -49,10 +56,35 @@
     return running;
   }
 
-  void started() {
+  void started(String at, long now) {
+    engine = at;
+    startedAt = now;
+    moving = false;
     running = true;
   }
 
+  /** Returns the engine of the present or last attempt. */
+  String engine() {
+    return engine;
+  }
+
+  long startedAt() {
+    return startedAt;
+  }
+
+  /** Returns whether the attempt is cut so that the item goes on elsewhere. */
+  boolean moving() {
+    return moving;
+  }
+
+  /** Cuts the attempt in progress; the item goes on at another engine. */
+  synchronized void move() {
+    if (stream != null) {
+      moving = true;
+      stream.cancel();
+    }
+  }
+
   /** Ends an attempt; the next may start at a time. */
   void paused(long until) {
     notBefore = until;
--- a/server/src/main/java/org/marigoldmill/server/batch/RolloutScheduler.java
+++ b/server/src/main/java/org/marigoldmill/server/batch/RolloutScheduler.java
@@ -9,8 +9,10 @@
 import java.util.Set;
 import java.util.concurrent.Executor;
 import java.util.concurrent.RejectedExecutionException;
+import java.util.stream.Collectors;
 import org.marigoldmill.core.placement.Engine;
 import org.marigoldmill.core.placement.EngineLoads;
+import org.marigoldmill.core.placement.MovePolicy;
 import org.marigoldmill.core.weights.EngineVersions;
 import org.marigoldmill.schema.submission.RolloutItem;
 import org.marigoldmill.schema.submission.Submission;
@@ -20,11 +22,26 @@
 public final class RolloutScheduler {
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
   private static final long TICK_MS = 40;
+  private static final long MOVE_PAUSE_MS = 200;
   private static final Comparator<ItemTask> OLDEST_FIRST =
       Comparator.comparingLong((ItemTask t) -> t.submission().getAcceptedAtMs())
-          .thenComparing(t -> t.submission().getId())
+          .thenComparing(t -> t.submission().getId());
+
+  /** The longest item ends a step, so it starts first. */
+  private static final Comparator<ItemTask> START_ORDER =
+      OLDEST_FIRST
+          .thenComparing(Comparator.comparingLong(ItemTask::expectedTokens).reversed())
           .thenComparingInt(ItemTask::index);
 
+  /**
+   * What waits for the engines of a model.
+   *
+   * @param waiting items that wait for a place
+   * @param strictest oldest version that each of them accepts; 0 when none waits
+   * @param singleVersion whether one of them must not mix versions
+   */
+  record Backlog(int waiting, long strictest, boolean singleVersion) {}
+
   private final Partitions partitions;
   private final RolloutMembership membership;
   private final ModelShares shares;
@@ -36,6 +53,7 @@
   private final Clock clock;
   private final Map<String, ItemTask> tasks = new LinkedHashMap<>();
   private long reconciled = -1;
+  private long movedAt;
   private volatile boolean stopping;
 
   /** Creates the scheduler; its tasks run on an executor. */
@@ -70,6 +88,7 @@
       }
       if (!stopping) {
         start();
+        move();
       }
     }
     if (partitions.changes() == seen) {
@@ -77,6 +96,19 @@
     }
   }
 
+  /** Returns what waits for the engines of a model. */
+  synchronized Backlog backlog(String model) {
+    List<Submission> waiting =
+        tasks.values().stream()
+            .filter(t -> !t.running() && t.submission().getModel().equals(model))
+            .map(ItemTask::submission)
+            .toList();
+    return new Backlog(
+        waiting.size(),
+        waiting.stream().mapToLong(Submission::getMinVersion).max().orElse(0),
+        waiting.stream().anyMatch(Submission::getSingleVersion));
+  }
+
   /** Starts no more attempts. */
   public void stopStarting() {
     stopping = true;
@@ -124,7 +156,7 @@
   private void start() {
     long now = clock.now();
     List<ItemTask> ready =
-        tasks.values().stream().filter(t -> t.ready(now)).sorted(OLDEST_FIRST).toList();
+        tasks.values().stream().filter(t -> t.ready(now)).sorted(START_ORDER).toList();
     if (ready.isEmpty()) {
       return;
     }
@@ -135,7 +167,7 @@
           engines.getOrDefault(submission.getModel(), List.of()).stream()
               .filter(e -> suits(e, submission, now))
               .toList();
-      loads.acquire(suitable, zone, now).ifPresent(e -> start(task, e));
+      loads.acquire(suitable, zone, now).ifPresent(e -> launch(task, e));
     }
   }
 
@@ -145,8 +177,64 @@
         && versions.version(engine.id(), model, now) >= submission.getMinVersion();
   }
 
-  private void start(ItemTask task, Engine engine) {
-    task.started();
+  /** Lets runs of slow engines go on at faster ones, when nothing waits for those. */
+  private void move() {
+    long now = clock.now();
+    if (now - movedAt < MOVE_PAUSE_MS) {
+      return;
+    }
+    movedAt = now;
+    Map<String, List<Engine>> engines = shares.current();
+    Map<String, List<ItemTask>> byModel =
+        tasks.values().stream()
+            .filter(ItemTask::running)
+            .collect(Collectors.groupingBy(t -> t.submission().getModel()));
+    byModel.forEach(
+        (model, running) -> {
+          if (backlog(model).waiting() == 0) {
+            move(model, running, engines.getOrDefault(model, List.of()), now);
+          }
+        });
+  }
+
+  private void move(String model, List<ItemTask> running, List<Engine> engines, long now) {
+    long strictest =
+        running.stream().mapToLong(t -> t.submission().getMinVersion()).max().orElse(0);
+    List<MovePolicy.Room> rooms =
+        engines.stream()
+            .filter(e -> !versions.loading(e.id(), model, now))
+            .filter(e -> versions.version(e.id(), model, now) >= strictest)
+            .map(
+                e ->
+                    new MovePolicy.Room(
+                        e.id(), loads.msPerEvent(e.id()), e.slots() - loads.running(e.id())))
+            .toList();
+    List<MovePolicy.Run> runs =
+        running.stream()
+            .map(
+                t ->
+                    new MovePolicy.Run(
+                        t.item().getId(), t.engine(), t.startedAt(), t.expectedTokens()))
+            .toList();
+    Map<String, Double> speeds =
+        running.stream()
+            .map(ItemTask::engine)
+            .distinct()
+            .collect(Collectors.toMap(e -> e, loads::msPerEvent));
+    Set<String> due = Set.copyOf(MovePolicy.due(runs, speeds, rooms, now));
+    running.stream()
+        .filter(t -> due.contains(t.item().getId()))
+        .forEach(
+            t -> {
+              logger.atInfo().log(
+                  "item moves id=%s engine=%s speeds=%s rooms=%s",
+                  t.item().getId(), t.engine(), speeds, rooms);
+              t.move();
+            });
+  }
+
+  private void launch(ItemTask task, Engine engine) {
+    task.started(engine.id(), clock.now());
     logger.atFine().log("item started id=%s engine=%s", task.item().getId(), engine.id());
     try {
       executor.execute(() -> runner.run(task, engine));
--- a/server/src/main/java/org/marigoldmill/server/batch/Rollouts.java
+++ b/server/src/main/java/org/marigoldmill/server/batch/Rollouts.java
@@ -6,12 +6,14 @@
 import org.marigoldmill.server.Clock;
 import org.marigoldmill.server.Metrics;
 import org.marigoldmill.server.deployment.DeploymentState;
+import org.marigoldmill.server.duty.FleetLog;
 import org.marigoldmill.server.gateway.Forwarder;
 import org.marigoldmill.server.gateway.UpstreamSender;
 
 /** Generation of the items that this instance is in charge of. */
 public final class Rollouts {
   private final RolloutScheduler scheduler;
+  private final WeightPlanner planner;
 
   /** Creates the generation over its parts; attempts run on an executor. */
   public Rollouts(
@@ -22,6 +24,7 @@
       EngineVersions versions,
       UpstreamSender sender,
       Forwarder forwarder,
+      FleetLog fleet,
       Executor executor,
       Metrics metrics,
       String zone,
@@ -32,6 +35,9 @@
     this.scheduler =
         new RolloutScheduler(
             partitions, membership, shares, loads, versions, runner, executor, zone, clock);
+    this.planner =
+        new WeightPlanner(
+            scheduler, membership, shares, loads, versions, deployment, fleet, clock);
   }
 
   /** Starts what can start; one round of a duty. */
@@ -39,6 +45,11 @@
     scheduler.runRound();
   }
 
+  /** Asks for the weights that are wanted; one round of a duty. */
+  public void planWeights() {
+    planner.runRound();
+  }
+
   /** Starts no more attempts. */
   public void stopStarting() {
     scheduler.stopStarting();
--- /dev/null
+++ b/server/src/main/java/org/marigoldmill/server/batch/WeightPlanner.java
@@ -0,0 +1,105 @@
+package org.marigoldmill.server.batch;
+
+import com.google.common.flogger.FluentLogger;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.marigoldmill.core.placement.Engine;
+import org.marigoldmill.core.placement.EngineLoads;
+import org.marigoldmill.core.weights.EngineVersions;
+import org.marigoldmill.core.weights.WeightPlan;
+import org.marigoldmill.server.Clock;
+import org.marigoldmill.server.deployment.DeploymentState;
+import org.marigoldmill.server.duty.FleetLog;
+
+/** Asks for new weights on the engines of the models that this instance generates for. */
+final class WeightPlanner {
+  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+
+  /** A wish that still holds is told again after this long, in milliseconds. */
+  private static final long REPEAT_MS = 250;
+
+  private final RolloutScheduler scheduler;
+  private final RolloutMembership membership;
+  private final ModelShares shares;
+  private final EngineLoads loads;
+  private final EngineVersions versions;
+  private final DeploymentState deployment;
+  private final FleetLog fleet;
+  private final Clock clock;
+  private final Map<WeightPlan.Load, Long> toldAt = new HashMap<>();
+
+  WeightPlanner(
+      RolloutScheduler scheduler,
+      RolloutMembership membership,
+      ModelShares shares,
+      EngineLoads loads,
+      EngineVersions versions,
+      DeploymentState deployment,
+      FleetLog fleet,
+      Clock clock) {
+    this.scheduler = scheduler;
+    this.membership = membership;
+    this.shares = shares;
+    this.loads = loads;
+    this.versions = versions;
+    this.deployment = deployment;
+    this.fleet = fleet;
+    this.clock = clock;
+  }
+
+  /** Tells the loads that are wanted now; one round of a duty. */
+  void runRound() {
+    long now = clock.now();
+    toldAt.values().removeIf(at -> now - at >= REPEAT_MS);
+    shares
+        .current()
+        .forEach(
+            (model, engines) -> {
+              if (membership.owns(model) && deployment.namedVersion(model) > 0) {
+                plan(model, engines, now);
+              }
+            });
+  }
+
+  private void plan(String model, List<Engine> engines, long now) {
+    List<WeightPlan.Place> places =
+        engines.stream()
+            .map(
+                e ->
+                    new WeightPlan.Place(
+                        e.id(),
+                        versions.target(e.id(), model, now),
+                        versions.loading(e.id(), model, now),
+                        loads.running(e.id())))
+            .toList();
+    RolloutScheduler.Backlog backlog = scheduler.backlog(model);
+    WeightPlan.Demand demand =
+        new WeightPlan.Demand(
+            model,
+            deployment.namedVersion(model),
+            backlog.strictest(),
+            backlog.waiting(),
+            backlog.singleVersion());
+    WeightPlan.wanted(places, demand).stream()
+        .filter(l -> !toldAt.containsKey(l))
+        .forEach(l -> tell(l, engines, demand, places, now));
+  }
+
+  private void tell(
+      WeightPlan.Load load,
+      List<Engine> engines,
+      WeightPlan.Demand demand,
+      List<WeightPlan.Place> places,
+      long now) {
+    engines.stream()
+        .filter(e -> e.id().equals(load.engine()))
+        .findFirst()
+        .ifPresent(
+            e -> {
+              toldAt.put(load, now);
+              logger.atInfo().log("load wanted %s demand=%s places=%s", load, demand, places);
+              fleet.wanted(load, e.incarnation());
+            });
+  }
+}
--- a/server/src/main/java/org/marigoldmill/server/deployment/UpstreamProtocol.java
+++ b/server/src/main/java/org/marigoldmill/server/deployment/UpstreamProtocol.java
@@ -98,7 +98,7 @@
   HttpCall order(
       String address,
       String engineId,
-      WeightPlan.Order order,
+      WeightPlan.Load load,
       String holder,
       long epoch,
       long expectedOrders);
--- a/server/src/main/java/org/marigoldmill/server/duty/FleetLog.java
+++ b/server/src/main/java/org/marigoldmill/server/duty/FleetLog.java
@@ -9,10 +9,13 @@
 import java.util.TreeMap;
 import org.marigoldmill.core.submission.KeyedRecord;
 import org.marigoldmill.core.weights.EngineVersions;
+import org.marigoldmill.core.weights.LoadQueue;
+import org.marigoldmill.core.weights.WeightPlan;
 import org.marigoldmill.schema.fleet.FleetRecord;
 import org.marigoldmill.schema.fleet.OrderedWeights;
 import org.marigoldmill.schema.fleet.UsageSeal;
 import org.marigoldmill.schema.fleet.UsageTally;
+import org.marigoldmill.schema.fleet.WantedWeights;
 import org.marigoldmill.schema.log.Usage;
 import org.marigoldmill.server.Clock;
 import org.marigoldmill.server.deployment.EngineRegistry;
@@ -33,6 +36,7 @@
   private final String instance;
   private final EngineRegistry registry;
   private final EngineVersions versions;
+  private final LoadQueue loads;
   private final Clock clock;
   private final PartitionFollower follower;
   private final TreeMap<Long, Map<String, Long>> tallies = new TreeMap<>();
@@ -44,11 +48,13 @@
       String instance,
       EngineRegistry registry,
       EngineVersions versions,
+      LoadQueue loads,
       Clock clock) {
     this.store = store;
     this.instance = instance;
     this.registry = registry;
     this.versions = versions;
+    this.loads = loads;
     this.clock = clock;
     this.follower = new PartitionFollower(store, TOPIC, 0, POLL_MS, 0, this, clock);
   }
@@ -75,6 +81,20 @@
     return append(FleetRecord.newBuilder().setOrder(order));
   }
 
+  /** Tells that this instance wants an engine to load weights. */
+  public LogStore.Outcome wanted(WeightPlan.Load load, long incarnation) {
+    WantedWeights wanted =
+        WantedWeights.newBuilder()
+            .setEngine(load.engine())
+            .setIncarnation(incarnation)
+            .setModel(load.model())
+            .setVersion(load.version())
+            .setUrgent(load.urgent())
+            .setKeepRuns(load.keepRuns())
+            .build();
+    return append(FleetRecord.newBuilder().setWanted(wanted));
+  }
+
   /** Returns the requests of each organisation that instances told for a window. */
   public synchronized Map<String, Long> told(long window) {
     return Map.copyOf(tallies.getOrDefault(window, Map.of()));
@@ -100,6 +120,7 @@
       case TALLY -> add(told.getTally());
       case SEAL -> seals.putIfAbsent(told.getSeal().getWindow(), counts(told.getSeal()));
       case ORDER -> note(told.getOrder());
+      case WANTED -> wish(told.getWanted());
       default -> {
         // The body is of a newer version.
       }
@@ -123,6 +144,22 @@
             e -> versions.ordered(e.id(), order.getModel(), order.getVersion(), clock.now()));
   }
 
+  private void wish(WantedWeights wanted) {
+    registry
+        .engine(wanted.getEngine())
+        .filter(e -> e.incarnation() == wanted.getIncarnation())
+        .ifPresent(
+            e ->
+                loads.wish(
+                    new WeightPlan.Load(
+                        e.id(),
+                        wanted.getModel(),
+                        wanted.getVersion(),
+                        wanted.getUrgent(),
+                        wanted.getKeepRuns()),
+                    clock.now()));
+  }
+
   private LogStore.Outcome append(FleetRecord.Builder told) {
     byte[] value = told.setInstance(instance).build().toByteArray();
     return store
--- a/server/src/main/java/org/marigoldmill/server/duty/WeightDuty.java
+++ b/server/src/main/java/org/marigoldmill/server/duty/WeightDuty.java
@@ -2,22 +2,18 @@
 
 import com.google.common.flogger.FluentLogger;
 import java.util.HashMap;
-import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import org.marigoldmill.core.placement.Engine;
 import org.marigoldmill.core.weights.EngineVersions;
+import org.marigoldmill.core.weights.LoadQueue;
 import org.marigoldmill.core.weights.WeightPlan;
 import org.marigoldmill.http.CallFailure;
 import org.marigoldmill.http.HttpAnswer;
 import org.marigoldmill.http.HttpCall;
 import org.marigoldmill.http.HttpClient;
 import org.marigoldmill.schema.fleet.OrderedWeights;
-import org.marigoldmill.schema.submission.Submission;
 import org.marigoldmill.server.Clock;
-import org.marigoldmill.server.batch.ModelShares;
-import org.marigoldmill.server.batch.Partitions;
-import org.marigoldmill.server.deployment.DeploymentState;
 import org.marigoldmill.server.deployment.EngineRegistry;
 import org.marigoldmill.server.deployment.UpstreamProtocol;
 
@@ -34,15 +30,12 @@
   private record Life(String engine, long incarnation) {}
 
   private final DutyLeaseHolder lease;
-  private final DeploymentState deployment;
   private final EngineRegistry registry;
   private final EngineVersions versions;
-  private final ModelShares shares;
-  private final Partitions partitions;
   private final FleetLog fleet;
   private final UpstreamProtocol protocol;
   private final HttpClient client;
-  private final WeightPlan plan;
+  private final LoadQueue loads;
   private final String instance;
   private final Clock clock;
   private final Map<Life, Long> ordersAccepted = new HashMap<>();
@@ -51,75 +44,42 @@
   /** Creates the duty over its parts. */
   public WeightDuty(
       DutyLeaseHolder lease,
-      DeploymentState deployment,
       EngineRegistry registry,
       EngineVersions versions,
-      ModelShares shares,
-      Partitions partitions,
       FleetLog fleet,
       UpstreamProtocol protocol,
       HttpClient client,
-      WeightPlan plan,
+      LoadQueue loads,
       String instance,
       Clock clock) {
     this.lease = lease;
-    this.deployment = deployment;
     this.registry = registry;
     this.versions = versions;
-    this.shares = shares;
-    this.partitions = partitions;
     this.fleet = fleet;
     this.protocol = protocol;
     this.client = client;
-    this.plan = plan;
+    this.loads = loads;
     this.instance = instance;
     this.clock = clock;
   }
 
-  /** Gives the orders that are due; one round of a duty. */
+  /** Gives the orders that may start; one round of a duty. */
   public void runRound() {
-    if (!lease.holds(SEND_LIMIT_MS) || !partitions.ready()) {
+    if (!lease.holds(SEND_LIMIT_MS)) {
       return;
     }
     long now = clock.now();
-    Map<String, List<Engine>> engines = shares.current();
-    List<WeightPlan.Place> places =
-        engines.entrySet().stream()
-            .flatMap(e -> e.getValue().stream().map(engine -> place(engine, e.getKey(), now)))
-            .toList();
-    List<Submission> open = partitions.open();
-    List<WeightPlan.Demand> demands =
-        engines.keySet().stream().map(model -> demand(model, open)).toList();
-    plan.due(places, demands).stream()
-        .filter(o -> pausedUntil.getOrDefault(o.engine(), Long.MIN_VALUE) <= now)
+    loads.startable(versions.loading(now), now).stream()
+        .filter(l -> pausedUntil.getOrDefault(l.engine(), Long.MIN_VALUE) <= now)
         .forEach(this::order);
   }
 
-  private WeightPlan.Place place(Engine engine, String model, long now) {
-    return new WeightPlan.Place(
-        engine.id(),
-        model,
-        versions.target(engine.id(), model, now),
-        versions.loading(engine.id(), model, now));
-  }
-
-  private WeightPlan.Demand demand(String model, List<Submission> open) {
-    List<Submission> mine = open.stream().filter(s -> s.getModel().equals(model)).toList();
-    int items =
-        mine.stream()
-            .mapToInt(s -> partitions.of(s.getId()).state().openItems(s.getId()).size())
-            .sum();
-    return new WeightPlan.Demand(
-        model,
-        deployment.namedVersion(model),
-        mine.stream().mapToLong(Submission::getMinVersion).min().orElse(0),
-        mine.stream().mapToLong(Submission::getMinVersion).max().orElse(0),
-        items);
-  }
-
-  private void order(WeightPlan.Order order) {
+  private void order(WeightPlan.Load order) {
     Engine engine = registry.engine(order.engine()).orElse(null);
-    if (engine == null || !lease.holds(SEND_LIMIT_MS)) {
+    boolean has =
+        versions.target(order.engine(), order.model(), clock.now()) >= order.version();
+    if (engine == null || has || !lease.holds(SEND_LIMIT_MS)) {
+      loads.done(order);
       return;
     }
     Optional<Long> known = expected(engine);
@@ -147,7 +107,7 @@
 
   private void settle(
       Engine engine,
-      WeightPlan.Order order,
+      WeightPlan.Load order,
       long expected,
       long epoch,
       UpstreamProtocol.OrderAnswer answer,
@@ -158,6 +118,7 @@
     switch (answer) {
       case ACCEPTED -> {
         ordersAccepted.put(life(engine), expected + 1);
+        loads.done(order);
         versions.ordered(engine.id(), order.model(), order.version(), clock.now());
         fleet.ordered(
             OrderedWeights.newBuilder()
