Keep upstream connections as long as their receivers do; no empty page from a stale replica

A page without results now needs a replica that was at the partition's end within 400 ms, else 503; the body of an item alike.

--- a/core/src/main/java/org/marigoldmill/core/weights/EngineVersions.java
+++ b/core/src/main/java/org/marigoldmill/core/weights/EngineVersions.java
@@ -66,8 +66,7 @@
 
   /** Returns how many engines are probably loading. */
   public synchronized int loading(long now) {
-    return (int)
-        orders.keySet().stream().filter(p -> loading(p.engine(), p.model(), now)).count();
+    return (int) orders.keySet().stream().filter(p -> loading(p.engine(), p.model(), now)).count();
   }
 
   /** Forgets an engine that is gone. */
--- a/core/src/main/java/org/marigoldmill/core/weights/WeightPlan.java
+++ b/core/src/main/java/org/marigoldmill/core/weights/WeightPlan.java
@@ -43,8 +43,7 @@
    * @param urgent whether items that wait cannot run on the engine before
    * @param keepRuns whether runs in progress go on under the new version
    */
-  public record Load(
-      String engine, String model, long version, boolean urgent, boolean keepRuns) {}
+  public record Load(String engine, String model, long version, boolean urgent, boolean keepRuns) {}
 
   private WeightPlan() {}
 
@@ -79,10 +78,6 @@
 
   private static Load load(Place place, Demand demand, boolean urgent) {
     return new Load(
-        place.engine(),
-        demand.model(),
-        demand.newestVersion(),
-        urgent,
-        !demand.singleVersion());
+        place.engine(), demand.model(), demand.newestVersion(), urgent, !demand.singleVersion());
   }
 }
--- a/http/src/main/java/org/marigoldmill/http/HttpClient.java
+++ b/http/src/main/java/org/marigoldmill/http/HttpClient.java
@@ -18,6 +18,7 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.Map;
+import java.util.OptionalLong;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ExecutionException;
@@ -37,12 +38,17 @@
  * connections to the same receiver are closed, because what silenced one has silenced its kin.
  */
 public final class HttpClient implements AutoCloseable {
+  /** Idle time after which a connection is closed unless its receiver has told its own limit. */
   private static final long REUSE_IDLE_MS = 2_000;
+
+  /** A connection is closed this much earlier than its receiver would close it. */
+  private static final long KEEP_ALIVE_MARGIN_MS = 800;
+
   private static final long REUSE_AGE_MS = 30_000;
   private static final int IDLE_PER_ADDRESS = 64;
   private static final int BUFFER_BYTES = 16 * 1024;
 
-  record Pooled(ClientConnection connection, long openedAt, long usedAt) {}
+  record Pooled(ClientConnection connection, long openedAt, long reusableUntil) {}
 
   private final XnioWorker worker;
   private final ByteBufferPool buffers = new DefaultByteBufferPool(true, BUFFER_BYTES);
@@ -122,7 +128,7 @@
   public boolean accepts(String address) {
     HttpCall probe = HttpCall.get(address, "/").onFreshConnection();
     try {
-      giveBack(probe.address(), connect(probe));
+      giveBack(probe.address(), connect(probe), OptionalLong.empty());
       return true;
     } catch (CallFailure e) {
       return false;
@@ -135,12 +141,15 @@
     worker.shutdownNow();
   }
 
-  void giveBack(InetSocketAddress address, Pooled pooled) {
+  /** Keeps a connection for another call, for as long as its receiver keeps it. */
+  void giveBack(InetSocketAddress address, Pooled pooled, OptionalLong keepAliveMs) {
     boolean old = nowMs() - pooled.openedAt() > REUSE_AGE_MS;
+    long idleMs =
+        keepAliveMs.isPresent() ? keepAliveMs.getAsLong() - KEEP_ALIVE_MARGIN_MS : REUSE_IDLE_MS;
     Deque<Pooled> kept = idle.computeIfAbsent(address, a -> new ArrayDeque<>());
     synchronized (kept) {
       if (!old && pooled.connection().isOpen() && kept.size() < IDLE_PER_ADDRESS) {
-        kept.push(new Pooled(pooled.connection(), pooled.openedAt(), nowMs()));
+        kept.push(new Pooled(pooled.connection(), pooled.openedAt(), nowMs() + idleMs));
         return;
       }
     }
@@ -162,7 +171,7 @@
     synchronized (kept) {
       while (!kept.isEmpty()) {
         Pooled pooled = kept.pop();
-        boolean recent = nowMs() - pooled.usedAt() <= REUSE_IDLE_MS;
+        boolean recent = nowMs() <= pooled.reusableUntil();
         if (recent && pooled.connection().isOpen()) {
           return pooled;
         }
--- a/http/src/main/java/org/marigoldmill/http/HttpStream.java
+++ b/http/src/main/java/org/marigoldmill/http/HttpStream.java
@@ -2,10 +2,14 @@
 
 import io.undertow.client.ClientExchange;
 import io.undertow.util.HeaderValues;
+import io.undertow.util.Headers;
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.util.List;
+import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
 import java.util.stream.Stream;
 import java.util.stream.StreamSupport;
 import org.xnio.IoUtils;
@@ -13,6 +17,8 @@
 
 /** An answer whose body is still arriving. */
 public final class HttpStream implements AutoCloseable {
+  private static final Pattern TIMEOUT = Pattern.compile("timeout=(\\d{1,6})");
+
   private final HttpClient client;
   private final HttpCall call;
   private final HttpClient.Pooled pooled;
@@ -93,12 +99,21 @@
     }
     closed = true;
     if (whole) {
-      client.giveBack(call.address(), pooled);
+      client.giveBack(call.address(), pooled, keepAliveMs());
     } else {
       IoUtils.safeClose(pooled.connection());
     }
   }
 
+  /** Returns how long the receiver keeps an idle connection, when it says so. */
+  private OptionalLong keepAliveMs() {
+    String told = exchange.getResponse().getResponseHeaders().getFirst(Headers.KEEP_ALIVE);
+    Matcher matcher = TIMEOUT.matcher(told == null ? "" : told);
+    return matcher.find()
+        ? OptionalLong.of(1_000 * Long.parseLong(matcher.group(1)))
+        : OptionalLong.empty();
+  }
+
   private static Stream<HttpCall.Header> headersOf(HeaderValues values) {
     return values.stream().map(v -> new HttpCall.Header(values.getHeaderName().toString(), v));
   }
--- a/server/src/main/java/org/marigoldmill/server/DeploymentInstance.java
+++ b/server/src/main/java/org/marigoldmill/server/DeploymentInstance.java
@@ -280,8 +280,7 @@
     }
   }
 
-  private void startDuties(
-      FleetLog fleet, UsageCounter usage, LoadQueue loads, HttpClient client) {
+  private void startDuties(FleetLog fleet, UsageCounter usage, LoadQueue loads, HttpClient client) {
     duty(settings.getGroupTtlMs() / 3, "membership", membership::runRound);
     duty(TICK_MS, "lease", lease::runRound);
     duty(0, "rollouts", rollouts::runRound);
--- a/server/src/main/java/org/marigoldmill/server/batch/Rollouts.java
+++ b/server/src/main/java/org/marigoldmill/server/batch/Rollouts.java
@@ -36,8 +36,7 @@
         new RolloutScheduler(
             partitions, membership, shares, loads, versions, runner, executor, zone, clock);
     this.planner =
-        new WeightPlanner(
-            scheduler, membership, shares, loads, versions, deployment, fleet, clock);
+        new WeightPlanner(scheduler, membership, shares, loads, versions, deployment, fleet, clock);
   }
 
   /** Starts what can start; one round of a duty. */
--- a/server/src/main/java/org/marigoldmill/server/duty/WeightDuty.java
+++ b/server/src/main/java/org/marigoldmill/server/duty/WeightDuty.java
@@ -76,8 +76,7 @@
 
   private void order(WeightPlan.Load order) {
     Engine engine = registry.engine(order.engine()).orElse(null);
-    boolean has =
-        versions.target(order.engine(), order.model(), clock.now()) >= order.version();
+    boolean has = versions.target(order.engine(), order.model(), clock.now()) >= order.version();
     if (engine == null || has || !lease.holds(SEND_LIMIT_MS)) {
       loads.done(order);
       return;
--- a/server/src/main/java/org/marigoldmill/server/gateway/SubmissionService.java
+++ b/server/src/main/java/org/marigoldmill/server/gateway/SubmissionService.java
@@ -22,6 +22,10 @@
   private static final long COMMIT_MS = 2_500;
   private static final long LONGEST_WAIT_MS = 1_000;
   private static final long RETRY_AFTER_MS = 300;
+
+  /** Age up to which a replica counts as fresh; callers expect half as much again at least. */
+  private static final long FRESH_MS = 400;
+
   private static final int PAGE_BYTES = 900_000;
 
   private final Partitions partitions;
@@ -106,18 +110,22 @@
       partitions.awaitChange(until - clock.now());
       results = settled(replica).results(id);
     }
-    if (results.size() < question.after()) {
-      // The caller has seen more than this replica has read.
-      if (!replica.follower().catchUp()) {
-        throw MarigoldmillException.of(ErrorKind.LOG_UNAVAILABLE, "results of " + id);
-      }
-      results = settled(replica).results(id);
+    boolean more = results.size() < submission.getItemCount();
+    if (results.size() <= question.after() && more && !fresh(replica)) {
+      throw MarigoldmillException.of(
+          ErrorKind.LOG_UNAVAILABLE, "results of " + id + " may be more than " + results.size());
     }
+    results = settled(replica).results(id);
     int from = Math.min(question.after(), results.size());
     return protocol.results(
         submission, question.after(), page(results.subList(from, results.size())));
   }
 
+  /** Another instance may have shown more; only a fresh replica may say that there is none. */
+  private static boolean fresh(PartitionReplica replica) {
+    return replica.follower().ageMs() <= FRESH_MS || replica.follower().catchUp();
+  }
+
   private static List<ItemResult> page(List<ItemResult> results) {
     int bytes = 0;
     int count = 0;
@@ -133,7 +141,11 @@
 
   private HttpAnswer item(PartitionReplica replica, CallerProtocol.Question question) {
     Optional<RolloutItem> item = item(replica.state(), question);
-    if (item.isEmpty() && replica.follower().catchUp()) {
+    if (item.isEmpty()) {
+      if (!replica.follower().catchUp()) {
+        throw MarigoldmillException.of(
+            ErrorKind.LOG_UNAVAILABLE, "item " + question.item() + " may be stored");
+      }
       item = item(settled(replica), question);
     }
     return item.map(i -> new HttpAnswer(200, List.of(), i.getBody().toByteArray()))
