--- a/cli/src/main/java/org/marigoldmill/cli/WarmUpCommand.java
+++ b/cli/src/main/java/org/marigoldmill/cli/WarmUpCommand.java
@@ -49,9 +49,9 @@
             .setWorkerThreads(2)
             .setParallelLoads(1)
             .build();
-    try (DeploymentInstance instance = UsersPlatform.start(settings)) {
-      Thread.sleep(RUN_MS);
-    }
+    DeploymentInstance instance = UsersPlatform.start(settings);
+    Thread.sleep(RUN_MS);
+    instance.close();
     return ExitCode.DONE;
   }
 }
--- a/server/src/main/java/org/marigoldmill/server/duty/FleetLog.java
+++ b/server/src/main/java/org/marigoldmill/server/duty/FleetLog.java
@@ -4,6 +4,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.NavigableMap;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.TreeMap;
@@ -179,7 +180,7 @@
         .toList();
   }
 
-  private static void trim(TreeMap<Long, ?> windows) {
+  private static void trim(NavigableMap<Long, ?> windows) {
     while (windows.size() > WINDOWS_KEPT) {
       windows.pollFirstEntry();
     }
