A stream that this process cuts never looks whole

A cut marks the stream first, and a read checks the mark before it reports an end; it also notices a cut within 50 ms instead of at its silence limit.

--- /dev/null
+++ b/core/src/test/java/org/marigoldmill/core/submission/PartitionStateTest.java
@@ -0,0 +1,150 @@
+package org.marigoldmill.core.submission;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+import java.util.List;
+import java.util.Optional;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.marigoldmill.schema.submission.ItemResult;
+import org.marigoldmill.schema.submission.RolloutItem;
+import org.marigoldmill.schema.submission.Submission;
+
+class PartitionStateTest {
+  private static final int CHUNK_BYTES = 20;
+  private static final Submission HEAD = Submission.newBuilder().setId("s").setModel("m").build();
+  private static final List<RolloutItem> ITEMS = List.of(item("a"), item("b"), item("c"));
+
+  private final PartitionState state = new PartitionState();
+
+  @Nested
+  class Accept {
+    @Test
+    void should_show_a_submission_only_when_all_its_parts_have_been_read() {
+      // GIVEN
+      List<KeyedRecord> records = state.accept(HEAD, ITEMS, CHUNK_BYTES);
+      assertThat(records.size()).isGreaterThan(2);
+      // WHEN
+      append(records.subList(0, records.size() - 1));
+      // THEN
+      assertThat(state.submission("s")).isEmpty();
+      append(records.subList(records.size() - 1, records.size()));
+      assertThat(state.submission("s").orElseThrow().getItemCount()).isEqualTo(3);
+      assertThat(state.openItems("s")).isEqualTo(ITEMS);
+    }
+
+    @Test
+    void should_store_nothing_when_the_submission_is_stored() {
+      append(state.accept(HEAD, ITEMS, CHUNK_BYTES));
+      assertThat(state.accept(HEAD, ITEMS, CHUNK_BYTES)).isEmpty();
+    }
+
+    @Test
+    void should_store_nothing_when_the_submission_has_ended() {
+      append(state.accept(HEAD, ITEMS, CHUNK_BYTES));
+      append(state.end("s"));
+      assertThat(state.accept(HEAD, ITEMS, CHUNK_BYTES)).isEmpty();
+      assertThat(state.submission("s").orElseThrow().getEnded()).isTrue();
+    }
+  }
+
+  @Nested
+  class Finish {
+    @Test
+    void should_order_results_by_their_offsets_when_items_finish_in_another_order() {
+      // GIVEN
+      append(state.accept(HEAD, ITEMS, CHUNK_BYTES));
+      // WHEN
+      append(state.finish(result("c")));
+      append(state.finish(result("a")));
+      // THEN
+      assertThat(state.results("s")).extracting(ItemResult::getItemId).containsExactly("c", "a");
+      assertThat(state.openItems("s")).containsExactly(item("b"));
+    }
+
+    @Test
+    void should_store_nothing_when_the_item_has_a_result() {
+      append(state.accept(HEAD, ITEMS, CHUNK_BYTES));
+      append(state.finish(result("a")));
+      assertThat(state.finish(result("a"))).isEmpty();
+    }
+
+    @Test
+    void should_store_nothing_when_the_submission_has_ended() {
+      append(state.accept(HEAD, ITEMS, CHUNK_BYTES));
+      append(state.end("s"));
+      assertThat(state.finish(result("a"))).isEmpty();
+    }
+
+    @Test
+    void should_keep_the_first_result_when_a_record_of_a_later_one_is_read() {
+      append(state.accept(HEAD, ITEMS, CHUNK_BYTES));
+      state.apply(90, SubmissionKey.result("s", "a").text(), bytes(result("a", "first")));
+      state.apply(91, SubmissionKey.result("s", "a").text(), bytes(result("a", "second")));
+      assertThat(state.results("s")).extracting(ItemResult::getText).containsExactly("first");
+    }
+  }
+
+  @Nested
+  class Settled {
+    @Test
+    void should_not_be_settled_when_a_record_beyond_the_end_was_loaded() {
+      state.apply(7, SubmissionKey.result("s", "a").text(), bytes(result("a")));
+      state.advance(5);
+      assertThat(state.settled()).isFalse();
+      state.advance(8);
+      assertThat(state.settled()).isTrue();
+    }
+  }
+
+  @Nested
+  class Forget {
+    @Test
+    void should_drop_every_key_when_the_submission_is_forgotten() {
+      // GIVEN
+      append(state.accept(HEAD, ITEMS, CHUNK_BYTES));
+      append(state.finish(result("a")));
+      // WHEN
+      append(state.forget("s"));
+      // THEN
+      assertThat(state.submission("s")).isEmpty();
+      assertThat(state.results("s")).isEmpty();
+      assertThat(state.heads()).isEmpty();
+    }
+  }
+
+  @Nested
+  class Apply {
+    @Test
+    void should_name_the_key_when_a_record_has_another_form() {
+      assertThatThrownBy(() -> state.apply(0, "x", Optional.empty()))
+          .isInstanceOf(IllegalArgumentException.class)
+          .hasMessageContaining("expected LETTER/ID/NAME but was x");
+    }
+  }
+
+  private void append(List<KeyedRecord> records) {
+    for (KeyedRecord keyed : records) {
+      long offset = state.nextOffset();
+      state.apply(offset, keyed.key(), keyed.value());
+      state.advance(offset + 1);
+    }
+  }
+
+  private static RolloutItem item(String id) {
+    return RolloutItem.newBuilder().setId(id).setPath("/p/" + id).setGroup("g").build();
+  }
+
+  private static ItemResult result(String item) {
+    return result(item, "text");
+  }
+
+  private static ItemResult result(String item, String text) {
+    return ItemResult.newBuilder().setSubmissionId("s").setItemId(item).setText(text).build();
+  }
+
+  private static Optional<byte[]> bytes(ItemResult result) {
+    return Optional.of(result.toByteArray());
+  }
+}
--- a/http/src/main/java/org/marigoldmill/http/HttpClient.java
+++ b/http/src/main/java/org/marigoldmill/http/HttpClient.java
@@ -54,6 +54,8 @@
   private final ByteBufferPool buffers = new DefaultByteBufferPool(true, BUFFER_BYTES);
   private final Map<InetSocketAddress, Deque<Pooled>> idle = new ConcurrentHashMap<>();
 
+  private volatile boolean closed;
+
   private HttpClient(XnioWorker worker) {
     this.worker = worker;
   }
@@ -135,8 +137,14 @@
     }
   }
 
+  /** Returns whether this client has been closed. */
+  boolean closed() {
+    return closed;
+  }
+
   @Override
   public void close() {
+    closed = true;
     idle.values().forEach(d -> d.forEach(p -> IoUtils.safeClose(p.connection())));
     worker.shutdownNow();
   }
--- a/http/src/main/java/org/marigoldmill/http/HttpStream.java
+++ b/http/src/main/java/org/marigoldmill/http/HttpStream.java
@@ -17,6 +17,9 @@
 
 /** An answer whose body is still arriving. */
 public final class HttpStream implements AutoCloseable {
+  /** A cancellation ends a read within this time, in milliseconds. */
+  private static final long CANCEL_CHECK_MS = 50;
+
   private static final Pattern TIMEOUT = Pattern.compile("timeout=(\\d{1,6})");
 
   private final HttpClient client;
@@ -25,6 +28,7 @@
   private final ClientExchange exchange;
   private final StreamSourceChannel channel;
   private final long deadline;
+  private volatile boolean cancelled;
   private boolean whole;
   private boolean closed;
 
@@ -69,15 +73,19 @@
     long silentAt = HttpClient.nowMs() + call.progressTimeoutMs();
     try {
       int n = channel.read(buffer);
-      while (n == 0) {
+      while (n == 0 && !cut()) {
         long wait = Math.min(silentAt, deadline) - HttpClient.nowMs();
         if (wait <= 0) {
           client.silent(call.address(), pooled.connection());
           throw HttpClient.failure(CallFailure.Reason.SILENT, call, null);
         }
-        channel.awaitReadable(wait, TimeUnit.MILLISECONDS);
+        channel.awaitReadable(Math.min(wait, CANCEL_CHECK_MS), TimeUnit.MILLISECONDS);
         n = channel.read(buffer);
       }
+      // A connection that this process closes reads like one that has ended.
+      if (cut()) {
+        throw HttpClient.failure(CallFailure.Reason.CUT, call, null);
+      }
       whole = n < 0;
       return n;
     } catch (IOException e) {
@@ -88,6 +96,7 @@
 
   /** Cuts the answer off from another thread; a read in progress fails. */
   public void cancel() {
+    cancelled = true;
     IoUtils.safeClose(pooled.connection());
   }
 
@@ -105,6 +114,10 @@
     }
   }
 
+  private boolean cut() {
+    return cancelled || client.closed();
+  }
+
   /** Returns how long the receiver keeps an idle connection, when it says so. */
   private OptionalLong keepAliveMs() {
     String told = exchange.getResponse().getResponseHeaders().getFirst(Headers.KEEP_ALIVE);
--- a/server/src/main/java/org/marigoldmill/server/batch/Partitions.java
+++ b/server/src/main/java/org/marigoldmill/server/batch/Partitions.java
@@ -19,6 +19,7 @@
   public static final Topic TOPIC = new Topic("submissions", true);
 
   private static final long POLL_MS = 2_000;
+  private static final long RETRY_MS = 50;
 
   private final List<PartitionReplica> replicas;
   private final AtomicLong changes = new AtomicLong();
@@ -34,7 +35,7 @@
     IntFunction<PartitionReplica> replica =
         p ->
             new PartitionReplica(
-                store, TOPIC, p, callBytes, POLL_MS, executor, clock, this::changed);
+                store, TOPIC, p, callBytes, POLL_MS, RETRY_MS, executor, clock, this::changed);
     this.replicas = IntStream.range(0, count).mapToObj(replica).toList();
   }
 
--- a/server/src/main/java/org/marigoldmill/server/store/PartitionReplica.java
+++ b/server/src/main/java/org/marigoldmill/server/store/PartitionReplica.java
@@ -26,7 +26,6 @@
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
   private static final int WAITING_CHANGES = 4_096;
   private static final int BATCH = 256;
-  private static final long RETRY_MS = 50;
 
   /** Computes records from the state; none when the change already holds. */
   @FunctionalInterface
@@ -59,6 +58,7 @@
   private final Topic topic;
   private final int partition;
   private final int callBytes;
+  private final long retryMs;
   private final PartitionState state = new PartitionState();
   private final PartitionFollower follower;
   private final Executor executor;
@@ -72,6 +72,7 @@
    *
    * @param callBytes largest append
    * @param waitMs longest wait of one read, in milliseconds
+   * @param retryMs pause after the store has taken nothing, in milliseconds
    * @param executor runs appends, one at a time for this partition
    * @param changed runs after each change of the state
    */
@@ -81,6 +82,7 @@
       int partition,
       int callBytes,
       long waitMs,
+      long retryMs,
       Executor executor,
       Clock clock,
       Runnable changed) {
@@ -88,6 +90,7 @@
     this.topic = topic;
     this.partition = partition;
     this.callBytes = callBytes;
+    this.retryMs = retryMs;
     this.executor = executor;
     this.clock = clock;
     this.changed = changed;
@@ -232,9 +235,9 @@
     return stored;
   }
 
-  private static void pause() {
+  private void pause() {
     try {
-      Thread.sleep(RETRY_MS);
+      Thread.sleep(retryMs);
     } catch (InterruptedException e) {
       Thread.currentThread().interrupt();
     }
--- /dev/null
+++ b/server/src/test/java/org/marigoldmill/server/store/FaultyStore.java
@@ -0,0 +1,123 @@
+package org.marigoldmill.server.store;
+
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.OptionalLong;
+import java.util.Random;
+import org.marigoldmill.core.submission.KeyedRecord;
+
+/**
+ * One partition in memory that loses answers, executes appends late, refuses calls and forgets its
+ * history, as a seed decides.
+ */
+public final class FaultyStore implements LogStore {
+  private static final int CALLS_UNTIL_LATE_APPEND = 6;
+
+  private record Late(OptionalLong expectedEnd, List<KeyedRecord> records, int due) {}
+
+  private final Random random;
+  private final int faultPercent;
+  private final List<StoredRecord> log = new ArrayList<>();
+  private final Map<String, StoredRecord> newest = new LinkedHashMap<>();
+  private final List<Late> late = new ArrayList<>();
+  private long first;
+  private int calls;
+
+  /** Creates a store in which a share of the calls fails. */
+  public FaultyStore(long seed, int faultPercent) {
+    this.random = new Random(seed);
+    this.faultPercent = faultPercent;
+  }
+
+  @Override
+  public synchronized Appended append(
+      Topic topic, int partition, OptionalLong expectedEnd, List<KeyedRecord> records) {
+    runLate();
+    if (!faulty()) {
+      return store(expectedEnd, records);
+    }
+    return switch (random.nextInt(4)) {
+      case 0 -> new Appended(Outcome.REFUSED, -1);
+      case 1 -> {
+        store(expectedEnd, records);
+        yield new Appended(Outcome.UNKNOWN, -1);
+      }
+      case 2 -> {
+        late.add(new Late(expectedEnd, records, calls + random.nextInt(CALLS_UNTIL_LATE_APPEND)));
+        yield new Appended(Outcome.UNKNOWN, -1);
+      }
+      default -> new Appended(Outcome.UNKNOWN, -1);
+    };
+  }
+
+  @Override
+  public synchronized Read read(Topic topic, int partition, long from, long waitMs) {
+    runLate();
+    if (faulty()) {
+      throw new StoreUnavailable("read: fault of the test");
+    }
+    if (from < first) {
+      return new Read(true, first, log.size(), List.of());
+    }
+    int most = 1 + random.nextInt(5);
+    List<StoredRecord> records = log.stream().skip(from).limit(most).toList();
+    return new Read(false, first, log.size(), records);
+  }
+
+  @Override
+  public synchronized Newest newest(Topic topic, int partition) {
+    if (faulty()) {
+      throw new StoreUnavailable("newest: fault of the test");
+    }
+    long end = log.size();
+    runLate();
+    return new Newest(end, List.copyOf(newest.values()));
+  }
+
+  @Override
+  public Membership join(String group, String member, Topic topic, long ttlMs, long generation) {
+    throw new StoreUnavailable("groups are not part of this store");
+  }
+
+  @Override
+  public void leave(String group, String member) {}
+
+  /** Forgets the history; the newest record of each key stays. */
+  public synchronized void trim() {
+    first = log.size();
+  }
+
+  /** Returns everything that was ever stored. */
+  public synchronized List<StoredRecord> all() {
+    return List.copyOf(log);
+  }
+
+  private boolean faulty() {
+    calls++;
+    return random.nextInt(100) < faultPercent;
+  }
+
+  private void runLate() {
+    for (Late append : List.copyOf(late)) {
+      if (append.due() <= calls) {
+        late.remove(append);
+        store(append.expectedEnd(), append.records());
+      }
+    }
+  }
+
+  private Appended store(OptionalLong expectedEnd, List<KeyedRecord> records) {
+    if (expectedEnd.isPresent() && expectedEnd.getAsLong() != log.size()) {
+      return new Appended(Outcome.MOVED, -1);
+    }
+    long offset = log.size();
+    for (KeyedRecord keyed : records) {
+      StoredRecord stored = new StoredRecord(log.size(), keyed.key(), keyed.value());
+      log.add(stored);
+      newest.put(keyed.key(), stored);
+    }
+    return new Appended(Outcome.STORED, offset);
+  }
+}
--- /dev/null
+++ b/server/src/test/java/org/marigoldmill/server/store/PartitionReplicaFuzzTest.java
@@ -0,0 +1,147 @@
+package org.marigoldmill.server.store;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.Set;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.stream.IntStream;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import org.marigoldmill.core.submission.PartitionState;
+import org.marigoldmill.schema.submission.ItemResult;
+import org.marigoldmill.schema.submission.RolloutItem;
+import org.marigoldmill.schema.submission.Submission;
+
+/**
+ * Several replicas accept, finish and end submissions over a store that loses, delays and refuses,
+ * against the oracle that positions never change, no item has two results, what was promised to
+ * hold holds, and what was promised not to hold never does.
+ */
+class PartitionReplicaFuzzTest {
+  private static final Topic TOPIC = new Topic("submissions", true);
+  private static final int REPLICAS = 3;
+  private static final int ACTIONS = 400;
+  private static final int FAULT_PERCENT = 25;
+  private static final long TIMEOUT_MS = 3;
+  private static final int ITEMS = 4;
+
+  /** The world of one run: replicas, a clock that each look advances, and what callers saw. */
+  private static final class World {
+    private final FaultyStore store;
+    private final Random random;
+    private final AtomicLong clock = new AtomicLong();
+    private final List<PartitionReplica> replicas = new ArrayList<>();
+    private final Map<String, List<ItemResult>> shown = new HashMap<>();
+    private final Set<String> accepted = new HashSet<>();
+    private final Set<String> maybeAccepted = new HashSet<>();
+
+    private World(long seed) {
+      store = new FaultyStore(seed, FAULT_PERCENT);
+      random = new Random(seed);
+      IntStream.range(0, REPLICAS).forEach(i -> replicas.add(replica()));
+    }
+
+    private PartitionReplica replica() {
+      return new PartitionReplica(
+          store, TOPIC, 0, 1 << 20, 0, 0, Runnable::run, clock::incrementAndGet, () -> {});
+    }
+
+    private void act() {
+      int number = random.nextInt(REPLICAS);
+      PartitionReplica replica = replicas.get(number);
+      String id = "s" + random.nextInt(6);
+      switch (random.nextInt(8)) {
+        case 0 -> accept(replica, id);
+        case 1, 2, 3 -> finish(replica, id);
+        case 4 -> replica.commit(s -> s.end(id), TIMEOUT_MS).join();
+        case 5 -> replicas.set(number, replica());
+        case 6 -> trimSometimes();
+        default -> replica.follower().catchUp();
+      }
+      replicas.forEach(this::look);
+    }
+
+    private void trimSometimes() {
+      if (random.nextInt(4) == 0) {
+        store.trim();
+      }
+    }
+
+    private void accept(PartitionReplica replica, String id) {
+      Submission head = Submission.newBuilder().setId(id).build();
+      PartitionReplica.Result result =
+          replica.commit(s -> s.accept(head, items(), 30), TIMEOUT_MS).join();
+      if (result == PartitionReplica.Result.HOLDS) {
+        accepted.add(id);
+      }
+      if (result != PartitionReplica.Result.NOT_DONE) {
+        maybeAccepted.add(id);
+      }
+    }
+
+    private void finish(PartitionReplica replica, String id) {
+      String text = "run-" + random.nextInt(1_000_000);
+      ItemResult done =
+          ItemResult.newBuilder()
+              .setSubmissionId(id)
+              .setItemId("i" + random.nextInt(ITEMS))
+              .setText(text)
+              .build();
+      replica.commit(s -> s.finish(done), TIMEOUT_MS).join();
+    }
+
+    /** A caller reads at a replica: positions that anyone has seen are there or not told yet. */
+    private void look(PartitionReplica replica) {
+      PartitionState state = replica.state();
+      if (!replica.follower().ready() || !state.settled()) {
+        return;
+      }
+      state.heads().forEach(h -> look(h.getId(), state.results(h.getId())));
+    }
+
+    private void look(String id, List<ItemResult> results) {
+      List<ItemResult> before = shown.getOrDefault(id, List.of());
+      int common = Math.min(before.size(), results.size());
+      assertThat(results.subList(0, common)).isEqualTo(before.subList(0, common));
+      assertThat(results.stream().map(ItemResult::getItemId)).doesNotHaveDuplicates();
+      if (results.size() > before.size()) {
+        shown.put(id, results);
+      }
+    }
+
+    private void finalCheck() {
+      PartitionReplica last = replica();
+      while (!last.follower().catchUp()) {
+        clock.incrementAndGet();
+      }
+      accepted.forEach(id -> assertThat(last.state().submission(id)).as(id).isPresent());
+      last.state().heads().forEach(h -> assertThat(maybeAccepted).contains(h.getId()));
+      shown.forEach((id, seen) -> assertThat(last.state().results(id)).startsWith(array(seen)));
+    }
+
+    private static ItemResult[] array(List<ItemResult> results) {
+      return results.toArray(ItemResult[]::new);
+    }
+
+    private static List<RolloutItem> items() {
+      return IntStream.range(0, ITEMS)
+          .mapToObj(i -> RolloutItem.newBuilder().setId("i" + i).setPath("/p").build())
+          .toList();
+    }
+  }
+
+  @Property(tries = 30, seed = "20261203")
+  void should_keep_every_promise_when_the_store_loses_delays_and_refuses(@ForAll long seed) {
+    World world = new World(seed);
+    for (int i = 0; i < ACTIONS; i++) {
+      world.act();
+    }
+    world.finalCheck();
+  }
+}
