--- /dev/null
+++ b/cli/src/test/java/org/marigoldmill/cli/deployment/StoreStandin.java
@@ -0,0 +1,156 @@
+package org.marigoldmill.cli.deployment;
+
+import static java.nio.charset.StandardCharsets.UTF_8;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.Base64;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import org.marigoldmill.http.HttpAnswer;
+import org.marigoldmill.http.HttpServer;
+
+/** Small stand-in of the users' store: partitions, conditional appends, keyed topics, groups. */
+final class StoreStandin implements AutoCloseable {
+  private static final ObjectMapper MAPPER = new ObjectMapper();
+  private static final int PARTITIONS = 12;
+  private static final int WORKERS = 96;
+  private static final long MEMBER_TTL_MS = 1_500;
+
+  private final Map<String, List<byte[]>> partitions = new LinkedHashMap<>();
+  private final Map<String, Long> members = new TreeMap<>();
+  private final HttpServer server;
+  private List<String> memberNames = List.of();
+  private long generation;
+
+  StoreStandin() {
+    server =
+        HttpServer.on("127.0.0.1:0")
+            .workers(WORKERS)
+            .post("/-/log-append", this::append)
+            .get("/-/log-read", this::read)
+            .get("/-/log-newest", this::newest)
+            .post("/-/log-join", this::join)
+            .post("/-/log-leave", this::leave)
+            .start();
+  }
+
+  String address() {
+    return server.address();
+  }
+
+  /** Writes what an operator, a trainer or an engine writes. */
+  synchronized void put(String topic, String key, JsonNode value) {
+    byte[] name = key.getBytes(UTF_8);
+    ByteArrayOutputStream content = new ByteArrayOutputStream();
+    content.write(name.length);
+    content.writeBytes(name);
+    content.writeBytes(value == null ? new byte[0] : value.toString().getBytes(UTF_8));
+    partition("keyed." + topic, 0).add(content.toByteArray());
+    notifyAll();
+  }
+
+  @Override
+  public void close() {
+    server.close();
+  }
+
+  private synchronized HttpAnswer append(HttpServer.Question question) {
+    List<byte[]> log = partition(question);
+    long end = log.size();
+    if (question.query("at").isPresent() && question.number("at", -1) != end) {
+      return json(412, MAPPER.createObjectNode().put("end", end));
+    }
+    ByteBuffer in = ByteBuffer.wrap(question.body());
+    while (in.remaining() >= Integer.BYTES) {
+      byte[] content = new byte[in.getInt()];
+      in.get(content);
+      log.add(content);
+    }
+    notifyAll();
+    return json(200, MAPPER.createObjectNode().put("offset", end).put("end", log.size()));
+  }
+
+  private synchronized HttpAnswer read(HttpServer.Question question) {
+    List<byte[]> log = partition(question);
+    int from = (int) question.number("from", 0);
+    long until = System.currentTimeMillis() + question.number("wait_ms", 0);
+    try {
+      for (long left = until - System.currentTimeMillis();
+          log.size() <= from && left > 0;
+          left = until - System.currentTimeMillis()) {
+        wait(left);
+      }
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+    ByteArrayOutputStream out = new ByteArrayOutputStream();
+    out.writeBytes(ByteBuffer.allocate(2 * Long.BYTES).putLong(log.size()).putLong(0).array());
+    for (byte[] content : log.subList(Math.min(from, log.size()), log.size())) {
+      out.writeBytes(ByteBuffer.allocate(Integer.BYTES).putInt(content.length).array());
+      out.writeBytes(content);
+    }
+    return new HttpAnswer(200, List.of(), out.toByteArray());
+  }
+
+  private synchronized HttpAnswer newest(HttpServer.Question question) {
+    List<byte[]> log = partition(question);
+    Map<String, ObjectNode> newest = new TreeMap<>();
+    for (int offset = 0; offset < log.size(); offset++) {
+      byte[] content = log.get(offset);
+      String key = new String(content, 1, content[0], UTF_8);
+      byte[] value = Arrays.copyOfRange(content, 1 + content[0], content.length);
+      ObjectNode item = MAPPER.createObjectNode().put("key", key).put("offset", offset);
+      newest.put(key, item.put("value", Base64.getEncoder().encodeToString(value)));
+    }
+    ObjectNode answer = MAPPER.createObjectNode().put("truncated", false).put("end", log.size());
+    ArrayNode items = answer.putArray("items");
+    newest.values().stream().filter(i -> !i.get("value").asText().isEmpty()).forEach(items::add);
+    return json(200, answer);
+  }
+
+  private synchronized HttpAnswer join(HttpServer.Question question) throws IOException {
+    JsonNode asked = MAPPER.readTree(question.body());
+    String member = asked.get("member").asText();
+    long now = System.currentTimeMillis();
+    members.put(member, now);
+    members.values().removeIf(at -> now - at > MEMBER_TTL_MS);
+    List<String> names = new ArrayList<>(members.keySet());
+    if (!names.equals(memberNames)) {
+      memberNames = names;
+      generation++;
+    }
+    ObjectNode answer = MAPPER.createObjectNode().put("generation", generation);
+    ArrayNode parts = answer.putArray("parts");
+    for (int p = names.indexOf(member); p < PARTITIONS; p += names.size()) {
+      parts.addArray().add(asked.get("topics").get(0).asText()).add(p).add(0);
+    }
+    return json(200, answer);
+  }
+
+  private synchronized HttpAnswer leave(HttpServer.Question question) throws IOException {
+    members.remove(MAPPER.readTree(question.body()).get("member").asText());
+    return json(200, MAPPER.createObjectNode());
+  }
+
+  private List<byte[]> partition(HttpServer.Question question) {
+    return partition(question.query("topic").orElseThrow(), (int) question.number("part", 0));
+  }
+
+  private List<byte[]> partition(String topic, int part) {
+    return partitions.computeIfAbsent(topic + "/" + part, p -> new ArrayList<>());
+  }
+
+  private static HttpAnswer json(int status, JsonNode body) {
+    return HttpAnswer.json(status, body.toString());
+  }
+}
