--- a/cli/src/test/java/org/marigoldmill/cli/deployment/DeploymentIT.java
+++ b/cli/src/test/java/org/marigoldmill/cli/deployment/DeploymentIT.java
@@ -15,6 +15,7 @@
 import java.util.List;
 import java.util.TreeMap;
 import java.util.TreeSet;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.BooleanSupplier;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -34,6 +35,7 @@
   private static final long EVENT_MS = 100;
   private static final int ITEMS = 12;
   private static final long AWAIT_MS = 40_000;
+  private static final AtomicInteger RUNS = new AtomicInteger();
 
   private final StoreStandin store = new StoreStandin();
   private final EngineStandin engine = new EngineStandin("e-1", "m", EVENTS, EVENT_MS);
@@ -47,7 +49,9 @@
     store.put("servers", "e-1", engine.entry("llm"));
     store.put("servers", "p-1", plain.entry("app"));
     store.put("servers", "odd", MAPPER.createObjectNode().put("state", 7));
-    Path directory = Path.of(System.getProperty("marigoldmill.work"), "deployment");
+    // Nested classes run at the same time, so each test has files of its own.
+    Path directory =
+        Path.of(System.getProperty("marigoldmill.work"), "deployment-" + RUNS.incrementAndGet());
     Files.createDirectories(directory);
     for (String name : List.of("one", "two")) {
       instances.add(DeploymentProcess.start(name, directory, store.address()));
