Cut calls whose caller has left, also before their answer begins

A connection whose request is in progress is not read, so a caller that left was noticed only when the answer was written. Long requests are now looked at every 100 ms. One class cuts calls for callers, for moved and for cancelled items.

--- a/cli/src/test/java/org/marigoldmill/cli/deployment/DeploymentIT.java
+++ b/cli/src/test/java/org/marigoldmill/cli/deployment/DeploymentIT.java
@@ -195,22 +195,15 @@
 
   private HttpAnswer send(
       String address, String method, String path, String id, String key, byte[] body) {
-    HttpCall plainCall = HttpCall.post(address, path, body);
     HttpCall call =
-        new HttpCall(
-            plainCall.address(),
-            method,
-            path,
-            List.of(
-                new Header("Host", "h"),
-                new Header("Api-Key", key),
-                new Header("X-Attempt-Id", id)),
-            body,
-            plainCall.connectTimeoutMs(),
-            plainCall.progressTimeoutMs(),
-            plainCall.deadlineMs(),
-            true,
-            plainCall.gate());
+        HttpCall.post(address, path, body)
+            .method(method)
+            .headers(
+                List.of(
+                    new Header("Host", "h"),
+                    new Header("Api-Key", key),
+                    new Header("X-Attempt-Id", id)))
+            .onFreshConnection();
     try {
       return client.exchange(call);
     } catch (CallFailure e) {
--- a/http/src/main/java/org/marigoldmill/http/HttpCall.java
+++ b/http/src/main/java/org/marigoldmill/http/HttpCall.java
@@ -16,6 +16,7 @@
  * @param deadlineMs longest duration of the whole call
  * @param fresh whether the call needs a connection of its own
  * @param gate runs on a connected call immediately before its bytes leave; throws to stop it
+ * @param cancellation cuts the call from another thread
  */
 @SuppressWarnings("ArrayRecordComponent")
 public record HttpCall(
@@ -28,7 +29,8 @@
     long progressTimeoutMs,
     long deadlineMs,
     boolean fresh,
-    Runnable gate) {
+    Runnable gate,
+    Cancellation cancellation) {
   private static final long CONNECT_TIMEOUT_MS = 1_000;
   private static final long DEFAULT_TIMEOUT_MS = 5_000;
 
@@ -56,13 +58,24 @@
         DEFAULT_TIMEOUT_MS,
         DEFAULT_TIMEOUT_MS,
         false,
-        HttpCall::pass);
+        HttpCall::pass,
+        new Cancellation());
   }
 
   /** Returns the call with other timeouts, in milliseconds. */
   public HttpCall timeouts(long connectMs, long progressMs, long wholeMs) {
     return new HttpCall(
-        address, method, path, headers, body, connectMs, progressMs, wholeMs, fresh, gate);
+        address,
+        method,
+        path,
+        headers,
+        body,
+        connectMs,
+        progressMs,
+        wholeMs,
+        fresh,
+        gate,
+        cancellation);
   }
 
   /** Returns the call with other headers. */
@@ -77,11 +90,17 @@
         progressTimeoutMs,
         deadlineMs,
         fresh,
-        gate);
+        gate,
+        cancellation);
   }
 
   /** Returns the call on a connection of its own. */
   public HttpCall onFreshConnection() {
+    return freshIf(true);
+  }
+
+  /** Returns the call on a connection of its own, or on a kept one. */
+  public HttpCall freshIf(boolean own) {
     return new HttpCall(
         address,
         method,
@@ -91,8 +110,9 @@
         connectTimeoutMs,
         progressTimeoutMs,
         deadlineMs,
-        true,
-        gate);
+        own,
+        gate,
+        cancellation);
   }
 
   /** Returns the call with a check immediately before its bytes leave. */
@@ -107,7 +127,40 @@
         progressTimeoutMs,
         deadlineMs,
         fresh,
-        check);
+        check,
+        cancellation);
+  }
+
+  /** Returns the call with what cuts it from another thread. */
+  public HttpCall cancelledBy(Cancellation other) {
+    return new HttpCall(
+        address,
+        method,
+        path,
+        headers,
+        body,
+        connectTimeoutMs,
+        progressTimeoutMs,
+        deadlineMs,
+        fresh,
+        gate,
+        other);
+  }
+
+  /** Returns the call with another method. */
+  public HttpCall method(String other) {
+    return new HttpCall(
+        address,
+        other,
+        path,
+        headers,
+        body,
+        connectTimeoutMs,
+        progressTimeoutMs,
+        deadlineMs,
+        fresh,
+        gate,
+        cancellation);
   }
 
   private static void pass() {}
--- a/http/src/main/java/org/marigoldmill/http/HttpClient.java
+++ b/http/src/main/java/org/marigoldmill/http/HttpClient.java
@@ -104,6 +104,7 @@
     Pooled pooled = call.fresh() ? connect(call) : take(call);
     ClientConnection connection = pooled.connection();
     CompletableFuture<ClientExchange> head = new CompletableFuture<>();
+    call.cancellation().attach(() -> cut(connection, head));
     connection.getIoThread().execute(() -> send(connection, call, head));
     long wait = Math.min(call.progressTimeoutMs(), deadline - nowMs());
     try {
@@ -174,6 +175,11 @@
     }
   }
 
+  private static void cut(ClientConnection connection, CompletableFuture<ClientExchange> head) {
+    head.completeExceptionally(new InterruptedIOException("cut by this process"));
+    IoUtils.safeClose(connection);
+  }
+
   private Pooled take(HttpCall call) {
     Deque<Pooled> kept = idle.computeIfAbsent(call.address(), a -> new ArrayDeque<>());
     synchronized (kept) {
--- a/http/src/main/java/org/marigoldmill/http/HttpStream.java
+++ b/http/src/main/java/org/marigoldmill/http/HttpStream.java
@@ -28,7 +28,6 @@
   private final ClientExchange exchange;
   private final StreamSourceChannel channel;
   private final long deadline;
-  private volatile boolean cancelled;
   private boolean whole;
   private boolean closed;
 
@@ -96,8 +95,7 @@
 
   /** Cuts the answer off from another thread; a read in progress fails. */
   public void cancel() {
-    cancelled = true;
-    IoUtils.safeClose(pooled.connection());
+    call.cancellation().cancel();
   }
 
   /** Returns the connection to the pool after a whole body, and closes it otherwise. */
@@ -107,6 +105,7 @@
       return;
     }
     closed = true;
+    call.cancellation().attach(() -> {});
     if (whole) {
       client.giveBack(call.address(), pooled, keepAliveMs());
     } else {
@@ -115,7 +114,7 @@
   }
 
   private boolean cut() {
-    return cancelled || client.closed();
+    return call.cancellation().cancelled() || client.closed();
   }
 
   /** Returns how long the receiver keeps an idle connection, when it says so. */
--- a/server/src/main/java/org/marigoldmill/server/DeploymentInstance.java
+++ b/server/src/main/java/org/marigoldmill/server/DeploymentInstance.java
@@ -54,6 +54,7 @@
   private static final long ENGINE_POLL_MS = 1_500;
   private static final long ENGINE_PAUSE_MS = 200;
   private static final long TICK_MS = 50;
+  private static final long CALLER_LOOK_MS = 100;
   private static final long DRAIN_POLL_MS = 20;
   private static final long BALANCER_NOTICE_MS = 2_300;
   private static final long TASK_PATIENCE_MS = 2_500;
@@ -297,6 +298,7 @@
             clock);
     duty(TICK_MS, "weights", weights::runRound);
     duty(TICK_MS, "weight-plan", rollouts::planWeights);
+    duty(CALLER_LOOK_MS, "caller-watch", gateway::watchCallers);
     if (settings.getUsageWindowMs() > 0 && ports.duties().isPresent()) {
       UsageDuty reports =
           new UsageDuty(
--- a/server/src/main/java/org/marigoldmill/server/batch/ItemRunner.java
+++ b/server/src/main/java/org/marigoldmill/server/batch/ItemRunner.java
@@ -14,6 +14,7 @@
 import org.marigoldmill.core.submission.GeneratedText;
 import org.marigoldmill.core.weights.EngineVersions;
 import org.marigoldmill.http.CallFailure;
+import org.marigoldmill.http.Cancellation;
 import org.marigoldmill.http.HttpAnswer;
 import org.marigoldmill.http.HttpCall;
 import org.marigoldmill.http.HttpStream;
@@ -116,12 +117,13 @@
             text.lastEvent(),
             RUN_MS);
     HttpCall call =
-        sender.protocol().call(engine.address(), attempt).timeouts(CONNECT_MS, SILENCE_MS, RUN_MS);
+        sender
+            .protocol()
+            .call(engine.address(), attempt)
+            .timeouts(CONNECT_MS, SILENCE_MS, RUN_MS)
+            .cancelledBy(task.attempt());
     try (HttpStream stream = sender.open(call, attempt)) {
-      task.streaming(Optional.of(stream));
       return take(task, engine, stream);
-    } finally {
-      task.streaming(Optional.empty());
     }
   }
 
@@ -293,7 +295,7 @@
             reward.getBody().toByteArray(),
             Optional.empty(),
             clock.now() + REWARD_DEADLINE_MS,
-            () -> false));
+            new Cancellation()));
   }
 
   private void giveUp(ItemTask task, String why) {
--- a/server/src/main/java/org/marigoldmill/server/batch/ItemTask.java
+++ b/server/src/main/java/org/marigoldmill/server/batch/ItemTask.java
@@ -1,8 +1,7 @@
 package org.marigoldmill.server.batch;
 
-import java.util.Optional;
 import org.marigoldmill.core.submission.GeneratedText;
-import org.marigoldmill.http.HttpStream;
+import org.marigoldmill.http.Cancellation;
 import org.marigoldmill.schema.submission.RolloutItem;
 import org.marigoldmill.schema.submission.Submission;
 
@@ -18,7 +17,7 @@
   private volatile String engine = "";
   private volatile long startedAt;
   private volatile long notBefore = Long.MIN_VALUE;
-  private HttpStream stream;
+  private Cancellation attempt = new Cancellation();
   private int failures;
 
   ItemTask(Submission submission, RolloutItem item, int index) {
@@ -56,7 +55,8 @@
     return running;
   }
 
-  void started(String at, long now) {
+  synchronized void started(String at, long now) {
+    attempt = new Cancellation();
     engine = at;
     startedAt = now;
     moving = false;
@@ -79,10 +79,8 @@
 
   /** Cuts the attempt in progress; the item goes on at another engine. */
   synchronized void move() {
-    if (stream != null) {
-      moving = true;
-      stream.cancel();
-    }
+    moving = true;
+    attempt.cancel();
   }
 
   /** Ends an attempt; the next may start at a time. */
@@ -101,18 +99,13 @@
     return failures >= submission.getMaxAttempts();
   }
 
-  /** Registers the stream of the attempt in progress, so that a cancellation cuts it. */
-  synchronized void streaming(Optional<HttpStream> open) {
-    stream = open.orElse(null);
-    if (cancelled && stream != null) {
-      stream.cancel();
-    }
+  /** Returns what cuts the attempt in progress. */
+  synchronized Cancellation attempt() {
+    return attempt;
   }
 
   synchronized void cancel() {
     cancelled = true;
-    if (stream != null) {
-      stream.cancel();
-    }
+    attempt.cancel();
   }
 }
--- a/server/src/main/java/org/marigoldmill/server/call/UpstreamCall.java
+++ b/server/src/main/java/org/marigoldmill/server/call/UpstreamCall.java
@@ -11,7 +11,6 @@
 import java.util.Locale;
 import java.util.Set;
 import java.util.stream.Collectors;
-import org.marigoldmill.http.Addresses;
 import org.marigoldmill.http.HttpCall;
 import org.marigoldmill.http.HttpCall.Header;
 import org.marigoldmill.schema.platform.PlatformInstance;
@@ -61,17 +60,14 @@
     headers.add(new Header(REQUEST_ID, id));
     headers.add(new Header("X-Organisation", call.organisation()));
     headers.addAll(trace);
-    return new HttpCall(
-        Addresses.parse(upstream.getAddress()),
-        exchange.getRequestMethod().toString(),
-        call.path(),
-        headers,
-        call.body(),
-        CONNECT_MS,
-        call.service().getProgressTimeoutMs(),
-        Math.max(1, call.deadline() - System.nanoTime() / 1_000_000),
-        !call.service().getIdempotent(),
-        () -> {});
+    return HttpCall.post(upstream.getAddress(), call.path(), call.body())
+        .method(exchange.getRequestMethod().toString())
+        .headers(headers)
+        .timeouts(
+            CONNECT_MS,
+            call.service().getProgressTimeoutMs(),
+            Math.max(1, call.deadline() - System.nanoTime() / 1_000_000))
+        .freshIf(!call.service().getIdempotent());
   }
 
   static void copyHead(HttpServerExchange exchange, int status, List<Header> headers) {
--- a/server/src/main/java/org/marigoldmill/server/gateway/Forwarder.java
+++ b/server/src/main/java/org/marigoldmill/server/gateway/Forwarder.java
@@ -6,12 +6,12 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
-import java.util.function.BooleanSupplier;
 import org.marigoldmill.core.error.ErrorKind;
 import org.marigoldmill.core.placement.Engine;
 import org.marigoldmill.core.route.Route;
 import org.marigoldmill.core.routing.UpstreamTable;
 import org.marigoldmill.http.CallFailure;
+import org.marigoldmill.http.Cancellation;
 import org.marigoldmill.http.HttpAnswer;
 import org.marigoldmill.http.HttpCall;
 import org.marigoldmill.schema.platform.PlatformInstance;
@@ -43,7 +43,7 @@
    * @param body whole body
    * @param organisation organisation that it runs for, if any
    * @param deadline time until which the caller waits
-   * @param gone whether the caller has left
+   * @param cancellation cut when the caller has left
    */
   @SuppressWarnings("ArrayRecordComponent")
   public record Request(
@@ -57,7 +57,7 @@
       byte[] body,
       Optional<String> organisation,
       long deadline,
-      BooleanSupplier gone) {}
+      Cancellation cancellation) {}
 
   /**
    * What became of a request.
@@ -136,7 +136,7 @@
         kind = maybeRun ? ErrorKind.UPSTREAM_SILENT : ErrorKind.DEADLINE_EXPIRED;
         return false;
       }
-      if (request.gone().getAsBoolean()) {
+      if (request.cancellation().cancelled()) {
         kind = maybeRun ? ErrorKind.UPSTREAM_LOST : ErrorKind.NO_UPSTREAM;
         return false;
       }
@@ -185,11 +185,12 @@
               remaining);
       long patience = request.route().repeatable() ? patience(remaining) : remaining;
       HttpCall call = sender.protocol().call(target.address(), attempt);
-      HttpCall timed = call.timeouts(CONNECT_MS, patience, patience);
+      HttpCall timed =
+          call.timeouts(CONNECT_MS, patience, patience)
+              .freshIf(!request.route().repeatable())
+              .cancelledBy(request.cancellation());
       try {
-        HttpAnswer got =
-            sender.exchange(
-                request.route().repeatable() ? timed : timed.onFreshConnection(), attempt);
+        HttpAnswer got = sender.exchange(timed, attempt);
         return judge(instance, got);
       } catch (CallFailure e) {
         upstreams.failed(instance, clock.now());
--- a/server/src/main/java/org/marigoldmill/server/gateway/Gateway.java
+++ b/server/src/main/java/org/marigoldmill/server/gateway/Gateway.java
@@ -33,6 +33,7 @@
   private final Metrics metrics;
   private final Clock clock;
   private final AtomicInteger open = new AtomicInteger();
+  private final CallerWatch watch;
   private volatile boolean draining;
 
   /** Creates the gateway over its parts. */
@@ -51,6 +52,12 @@
     this.usage = usage;
     this.metrics = metrics;
     this.clock = clock;
+    this.watch = new CallerWatch(clock);
+  }
+
+  /** Looks for callers that have left; one round of a duty. */
+  public void watchCallers() {
+    watch.runRound();
   }
 
   /** Closes each connection after its answer from now on. */
@@ -70,6 +77,7 @@
     exchange.addExchangeCompleteListener(
         (done, next) -> {
           open.decrementAndGet();
+          watch.release(done);
           next.proceed();
         });
     deployment.config().ifPresent(c -> exchange.setMaxEntitySize(c.limits().bodyBytes()));
@@ -186,7 +194,8 @@
                 body,
                 organisation,
                 arrivedAt + patience,
-                () -> !exchange.getConnection().isOpen()));
+                watch.watch(exchange)));
+    watch.release(exchange);
     if (outcome.ran()) {
       organisation.ifPresent(usage::began);
     }
