--- a/cli/src/test/java/org/marigoldmill/cli/deployment/DeploymentIT.java
+++ b/cli/src/test/java/org/marigoldmill/cli/deployment/DeploymentIT.java
@@ -154,6 +154,17 @@
       assertThat(call("/nowhere", "key").status()).isEqualTo(404);
     }
 
+    @Test
+    void should_pass_every_event_once_when_the_engine_breaks_off_inside_one() {
+      HttpAnswer stream = call("/gen/broken", "key");
+      assertThat(stream.status()).isEqualTo(200);
+      StringBuilder whole = new StringBuilder();
+      for (int i = 1; i <= EVENTS; i++) {
+        whole.append("id: ").append(i).append("\ndata: piece ").append(i).append("\n\n");
+      }
+      assertThat(stream.text()).isEqualTo(whole.toString());
+    }
+
     @Test
     void should_refuse_a_key_when_a_later_configuration_has_withdrawn_it() {
       assertThat(call("/app/x", "other-key").status()).isEqualTo(200);
@@ -234,6 +245,10 @@
         .put("max_attempts", 3)
         .put("run_slo_ms", 7_500)
         .put("retention_s", 60);
+    route(routes, "/gen/", "idempotent", "llm")
+        .put("max_attempts", 3)
+        .put("streaming", true)
+        .put("resumable", true);
     ArrayNode services = config.putArray("services");
     services.addObject().put("name", "app");
     ObjectNode llm = services.addObject().put("name", "llm");
--- a/cli/src/test/java/org/marigoldmill/cli/deployment/EngineStandin.java
+++ b/cli/src/test/java/org/marigoldmill/cli/deployment/EngineStandin.java
@@ -112,7 +112,14 @@
     head(exchange, "Content-Type", "text/event-stream");
     String last = exchange.getRequestHeaders().getFirst("Last-Event-Id");
     OutputStream out = exchange.getOutputStream();
+    boolean breaks = path.endsWith("/broken") && last == null;
     for (int i = last == null ? 1 : Integer.parseInt(last) + 1; i <= events; i++) {
+      if (breaks && i > 2) {
+        out.write("id: 3\ndata: pie".getBytes(UTF_8));
+        out.flush();
+        exchange.getConnection().close();
+        return;
+      }
       out.write(("id: " + i + "\ndata: piece " + i + "\n\n").getBytes(UTF_8));
       out.flush();
       pause();
--- a/server/src/main/java/org/marigoldmill/server/DeploymentInstance.java
+++ b/server/src/main/java/org/marigoldmill/server/DeploymentInstance.java
@@ -145,7 +145,16 @@
     SubmissionService submissions =
         new SubmissionService(partitions, ports.callers(), chunkBytes(), clock);
     this.gateway =
-        new Gateway(ports.callers(), deployment, forwarder, submissions, usage, metrics, clock);
+        new Gateway(
+            ports.callers(),
+            deployment,
+            forwarder,
+            new StreamCarrier(
+                registry, upstreams, sender, ports.callers(), settings.getZone(), clock),
+            submissions,
+            usage,
+            metrics,
+            clock);
     serve(readyPath);
     follow(fleet);
     startDuties(fleet, usage, loads, client);
--- a/server/src/main/java/org/marigoldmill/server/gateway/Gateway.java
+++ b/server/src/main/java/org/marigoldmill/server/gateway/Gateway.java
@@ -5,6 +5,7 @@
 import io.undertow.server.HttpHandler;
 import io.undertow.server.HttpServerExchange;
 import io.undertow.util.Headers;
+import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.marigoldmill.core.error.ErrorKind;
@@ -28,6 +29,7 @@
   private final CallerProtocol protocol;
   private final DeploymentState deployment;
   private final Forwarder forwarder;
+  private final StreamCarrier streams;
   private final SubmissionService submissions;
   private final UsageCounter usage;
   private final Metrics metrics;
@@ -41,6 +43,7 @@
       CallerProtocol protocol,
       DeploymentState deployment,
       Forwarder forwarder,
+      StreamCarrier streams,
       SubmissionService submissions,
       UsageCounter usage,
       Metrics metrics,
@@ -48,6 +51,7 @@
     this.protocol = protocol;
     this.deployment = deployment;
     this.forwarder = forwarder;
+    this.streams = streams;
     this.submissions = submissions;
     this.usage = usage;
     this.metrics = metrics;
@@ -116,7 +120,9 @@
         handled.answer().status(),
         took,
         handled.detail());
-    send(exchange, handled.answer());
+    if (!exchange.isResponseStarted()) {
+      send(exchange, handled.answer());
+    }
   }
 
   private record Handled(HttpAnswer answer, String service, String detail) {}
@@ -181,20 +187,23 @@
     String query = exchange.getQueryString();
     String path = exchange.getRequestURI() + (query.isEmpty() ? "" : "?" + query);
     String service = route.service(id);
-    Forwarder.Outcome outcome =
-        forwarder.forward(
-            new Forwarder.Request(
-                id,
-                route,
-                service,
-                host,
-                exchange.getRequestMethod().toString(),
-                path,
-                protocol.passed(exchange),
-                body,
-                organisation,
-                arrivedAt + patience,
-                watch.watch(exchange)));
+    Forwarder.Request request =
+        new Forwarder.Request(
+            id,
+            route,
+            service,
+            host,
+            exchange.getRequestMethod().toString(),
+            path,
+            protocol.passed(exchange),
+            body,
+            organisation,
+            arrivedAt + patience,
+            watch.watch(exchange));
+    if (route.streaming()) {
+      return stream(exchange, request);
+    }
+    Forwarder.Outcome outcome = forwarder.forward(request);
     watch.release(exchange);
     if (outcome.ran()) {
       organisation.ifPresent(usage::began);
@@ -215,6 +224,21 @@
         answer, service, outcome.answer().isPresent() ? detail : "refused " + detail);
   }
 
+  private Handled stream(HttpServerExchange exchange, Forwarder.Request request) {
+    if (draining) {
+      exchange.setPersistent(false);
+    }
+    StreamCarrier.Outcome outcome = streams.carry(request, exchange);
+    watch.release(exchange);
+    if (outcome.ran()) {
+      request.organisation().ifPresent(usage::began);
+    }
+    String detail = "stream " + outcome;
+    return outcome.begun()
+        ? new Handled(new HttpAnswer(200, List.of(), new byte[0]), request.service(), detail)
+        : new Handled(protocol.refusal(outcome.kind(), RETRY_AFTER_MS), request.service(), detail);
+  }
+
   private String organisation(DeploymentConfig config, HttpServerExchange exchange) {
     String key =
         protocol
--- /dev/null
+++ b/server/src/main/java/org/marigoldmill/server/gateway/StreamCarrier.java
@@ -0,0 +1,252 @@
+package org.marigoldmill.server.gateway;
+
+import com.google.common.flogger.FluentLogger;
+import io.undertow.server.HttpServerExchange;
+import io.undertow.util.HttpString;
+import java.io.IOException;
+import java.io.OutputStream;
+import java.util.HashSet;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.Set;
+import org.marigoldmill.core.error.ErrorKind;
+import org.marigoldmill.core.placement.Engine;
+import org.marigoldmill.core.routing.UpstreamTable;
+import org.marigoldmill.core.submission.EventSplitter;
+import org.marigoldmill.http.CallFailure;
+import org.marigoldmill.http.HttpCall;
+import org.marigoldmill.http.HttpStream;
+import org.marigoldmill.schema.platform.PlatformInstance;
+import org.marigoldmill.server.Clock;
+import org.marigoldmill.server.deployment.CallerProtocol;
+import org.marigoldmill.server.deployment.EngineRegistry;
+import org.marigoldmill.server.deployment.UpstreamProtocol.Attempt;
+import org.xnio.IoUtils;
+
+/**
+ * Carries requests whose answer is a series of events, and passes each event on as it arrives.
+ *
+ * <p>A broken stream goes on at another engine where the route allows it. Otherwise the caller's
+ * connection is closed without an end, so that the stream never looks whole.
+ */
+public final class StreamCarrier {
+  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+  private static final int CHUNK_BYTES = 8 * 1024;
+  private static final long CONNECT_MS = 300;
+
+  /** Callers give a stream up after a gap of two seconds, so a resumption must come sooner. */
+  private static final long SILENCE_MS = 1_000;
+
+  /**
+   * What became of a stream.
+   *
+   * @param begun whether the caller has got the head of an answer
+   * @param whole whether the caller has got all of it
+   * @param ran whether an engine has begun to run it
+   * @param kind why it is not whole
+   * @param engine engine of the last attempt
+   */
+  public record Outcome(boolean begun, boolean whole, boolean ran, ErrorKind kind, String engine) {}
+
+  private final EngineRegistry registry;
+  private final UpstreamTable upstreams;
+  private final UpstreamSender sender;
+  private final CallerProtocol callers;
+  private final String zone;
+  private final Clock clock;
+
+  /** Creates a carrier of an instance in a zone. */
+  public StreamCarrier(
+      EngineRegistry registry,
+      UpstreamTable upstreams,
+      UpstreamSender sender,
+      CallerProtocol callers,
+      String zone,
+      Clock clock) {
+    this.registry = registry;
+    this.upstreams = upstreams;
+    this.sender = sender;
+    this.callers = callers;
+    this.zone = zone;
+    this.clock = clock;
+  }
+
+  /** Carries a request; the answer, if it begins, goes to the caller. */
+  public Outcome carry(Forwarder.Request request, HttpServerExchange exchange) {
+    exchange.startBlocking();
+    return new Carriage(request, exchange).run();
+  }
+
+  private enum Step {
+    AGAIN,
+    ENDED
+  }
+
+  /** The attempts of one stream. */
+  private final class Carriage {
+    private final Forwarder.Request request;
+    private final HttpServerExchange exchange;
+    private final Set<String> visited = new HashSet<>();
+    private OptionalLong lastEvent = OptionalLong.empty();
+    private String engine = "";
+    private ErrorKind kind = ErrorKind.NO_UPSTREAM;
+    private boolean begun;
+    private boolean whole;
+    private boolean ran;
+    private boolean maybeRan;
+
+    private Carriage(Forwarder.Request request, HttpServerExchange exchange) {
+      this.request = request;
+      this.exchange = exchange;
+    }
+
+    private Outcome run() {
+      Step step = Step.AGAIN;
+      for (int sends = 0; step == Step.AGAIN && sends < sendsAllowed(); sends++) {
+        step = attempt();
+      }
+      if (begun && !whole) {
+        IoUtils.safeClose(exchange.getConnection());
+      }
+      return new Outcome(begun, whole, ran, kind, engine);
+    }
+
+    private int sendsAllowed() {
+      return request.route().maxAttempts();
+    }
+
+    private Step attempt() {
+      long remaining = request.deadline() - clock.now();
+      if (remaining <= 0 || request.cancellation().cancelled()) {
+        kind = maybeRan ? ErrorKind.UPSTREAM_SILENT : ErrorKind.DEADLINE_EXPIRED;
+        return Step.ENDED;
+      }
+      Optional<PlatformInstance> chosen =
+          acquire(true).or(() -> visited.isEmpty() ? Optional.empty() : acquire(false));
+      Optional<Engine> target = chosen.flatMap(i -> registry.engine(i.getName()));
+      if (target.isEmpty()) {
+        chosen.ifPresent(upstreams::released);
+        return Step.ENDED;
+      }
+      engine = target.get().id();
+      visited.add(engine);
+      try {
+        Step step = send(target.get(), remaining);
+        upstreams.succeeded(chosen.get());
+        return step;
+      } catch (CallFailure e) {
+        upstreams.failed(chosen.get(), clock.now());
+        return broken(e);
+      } catch (IOException e) {
+        upstreams.released(chosen.get());
+        kind = ErrorKind.UPSTREAM_LOST;
+        logger.atInfo().log("caller has left id=%s cause=%s", request.id(), e.getMessage());
+        return Step.ENDED;
+      }
+    }
+
+    private Optional<PlatformInstance> acquire(boolean other) {
+      return upstreams.acquire(
+          request.service(),
+          zone,
+          Integer.MAX_VALUE,
+          i -> !other || !visited.contains(i.getName()),
+          clock.now());
+    }
+
+    private Step send(Engine target, long remaining) throws IOException {
+      Attempt attempt =
+          new Attempt(
+              request.id(),
+              target.id(),
+              request.host(),
+              request.method(),
+              request.path(),
+              request.headers(),
+              request.body(),
+              request.organisation(),
+              lastEvent,
+              remaining);
+      HttpCall call =
+          sender
+              .protocol()
+              .call(target.address(), attempt)
+              .timeouts(CONNECT_MS, Math.min(remaining, SILENCE_MS), remaining)
+              .freshIf(!request.route().repeatable())
+              .cancelledBy(request.cancellation());
+      try (HttpStream stream = sender.open(call, attempt)) {
+        if (sender.protocol().notRun(stream.status(), stream.headers())) {
+          kind = maybeRan ? ErrorKind.UPSTREAM_LOST : ErrorKind.NO_UPSTREAM;
+          return Step.AGAIN;
+        }
+        ran = true;
+        maybeRan = true;
+        if (stream.status() != 200) {
+          kind = ErrorKind.UPSTREAM_LOST;
+          return request.route().repeatable() ? Step.AGAIN : Step.ENDED;
+        }
+        begin(stream);
+        relay(stream);
+        whole = true;
+        return Step.ENDED;
+      }
+    }
+
+    /** The head of the first engine's answer holds for the whole stream. */
+    private void begin(HttpStream stream) {
+      if (begun) {
+        return;
+      }
+      begun = true;
+      exchange.setStatusCode(stream.status());
+      callers
+          .returned(stream.headers())
+          .forEach(h -> exchange.getResponseHeaders().add(new HttpString(h.name()), h.value()));
+    }
+
+    private void relay(HttpStream stream) throws IOException {
+      EventSplitter splitter = new EventSplitter();
+      byte[] chunk = new byte[CHUNK_BYTES];
+      OutputStream out = exchange.getOutputStream();
+      for (int n = stream.read(chunk); n >= 0; n = stream.read(chunk)) {
+        for (EventSplitter.RawEvent event : splitter.read(chunk, n)) {
+          pass(event, out);
+        }
+        out.flush();
+      }
+      if (splitter.inside()) {
+        throw new CallFailure(
+            CallFailure.Sent.MAYBE_RUN,
+            CallFailure.Reason.CUT,
+            "stream ended inside an event at " + engine,
+            null);
+      }
+      out.close();
+    }
+
+    private void pass(EventSplitter.RawEvent event, OutputStream out) throws IOException {
+      boolean repeated =
+          event.id().isPresent()
+              && lastEvent.isPresent()
+              && event.id().getAsLong() <= lastEvent.getAsLong();
+      if (!repeated) {
+        out.write(event.bytes());
+        lastEvent = event.id().isPresent() ? event.id() : lastEvent;
+      }
+    }
+
+    private Step broken(CallFailure failure) {
+      boolean notSent = failure.sent() == CallFailure.Sent.NOT_SENT;
+      maybeRan |= !notSent;
+      boolean silent = failure.reason() == CallFailure.Reason.SILENT;
+      if (maybeRan) {
+        kind = silent ? ErrorKind.UPSTREAM_SILENT : ErrorKind.UPSTREAM_LOST;
+      }
+      logger.atInfo().log(
+          "stream broken id=%s engine=%s reason=%s last_event=%s",
+          request.id(), engine, failure.reason(), lastEvent);
+      boolean resumable = request.route().repeatable() && (!begun || lastEvent.isPresent());
+      return notSent || resumable ? Step.AGAIN : Step.ENDED;
+    }
+  }
+}
