--- a/server/src/main/java/org/marigoldmill/server/DeploymentInstance.java
+++ b/server/src/main/java/org/marigoldmill/server/DeploymentInstance.java
@@ -35,6 +35,7 @@
 import org.marigoldmill.server.duty.WeightDuty;
 import org.marigoldmill.server.gateway.Forwarder;
 import org.marigoldmill.server.gateway.Gateway;
+import org.marigoldmill.server.gateway.StreamCarrier;
 import org.marigoldmill.server.gateway.SubmissionService;
 import org.marigoldmill.server.gateway.UpstreamSender;
 import org.marigoldmill.server.store.PartitionFollower;
