--- a/cli/src/main/java/org/marigoldmill/cli/ServeDeploymentCommand.java
+++ b/cli/src/main/java/org/marigoldmill/cli/ServeDeploymentCommand.java
@@ -1,11 +1,14 @@
 package org.marigoldmill.cli;
 
+import com.google.common.flogger.FluentLogger;
+import java.io.UncheckedIOException;
 import java.nio.file.Path;
 import joptsimple.OptionParser;
 import joptsimple.OptionSet;
 import org.marigoldmill.platform.UsersPlatform;
 import org.marigoldmill.schema.settings.DeploymentSettings;
 import org.marigoldmill.server.DeploymentInstance;
+import org.marigoldmill.server.settings.InvalidSettings;
 import org.marigoldmill.server.settings.SettingsReader;
 
 /** Runs one entry instance on the users' platform until it receives SIGTERM. */
@@ -40,14 +43,29 @@
   @Override
   public int run(OptionSet options) throws InterruptedException {
     System.setProperty("logback.configurationFile", LOG_CONFIGURATION);
-    DeploymentInstance instance =
-        UsersPlatform.start(
-            SettingsReader.read(settings(options), DeploymentSettings.getDefaultInstance()));
+    Path file = settings(options);
+    DeploymentSettings settings =
+        SettingsReader.read(file, DeploymentSettings.getDefaultInstance());
+    DeploymentInstance instance = UsersPlatform.start(settings);
+    HangupSignal.handle(() -> reload(file, settings));
     Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(instance), "shutdown"));
     instance.awaitStopped();
     return ExitCode.DONE;
   }
 
+  /** Checks a changed file, so that a mistake shows before the next start needs it. */
+  private static void reload(Path file, DeploymentSettings inForce) {
+    FluentLogger logger = FluentLogger.forEnclosingClass();
+    try {
+      DeploymentSettings read = SettingsReader.read(file, DeploymentSettings.getDefaultInstance());
+      logger.atInfo().log(
+          "settings read again changed=%s in_force_from=next start", !read.equals(inForce));
+    } catch (InvalidSettings | UncheckedIOException e) {
+      logger.atWarning().log(
+          "settings read again are invalid, kept=%s cause=%s", file, e.getMessage());
+    }
+  }
+
   private static Path settings(OptionSet options) {
     String variable = System.getenv(SETTINGS_VARIABLE);
     return options.has("settings") || variable == null
--- a/cli/src/test/java/org/marigoldmill/cli/deployment/DeploymentIT.java
+++ b/cli/src/test/java/org/marigoldmill/cli/deployment/DeploymentIT.java
@@ -125,6 +125,30 @@
     }
   }
 
+  @Nested
+  class Signals {
+    @Test
+    void should_go_on_when_it_is_told_that_its_settings_have_changed() {
+      // WHEN
+      instances.get(0).process().hangUp();
+      await(() -> instances.get(0).process().output().contains("settings read again"));
+      // THEN
+      assertThat(ask(instances.get(0).ready(), "GET", "/-/readyz", "", "").status()).isEqualTo(200);
+    }
+
+    @Test
+    void should_end_with_code_0_and_lose_nothing_when_it_is_stopped() {
+      // GIVEN
+      assertThat(post(0, "/batch/s9", "s9", submission()).status()).isEqualTo(202);
+      // WHEN
+      instances.get(0).process().terminate();
+      // THEN
+      assertThat(instances.get(0).process().awaitExit()).isTrue();
+      assertThat(instances.get(0).process().exitCode()).isEqualTo(0);
+      await(() -> results(1, "s9", 0).get("next").asInt() == ITEMS);
+    }
+  }
+
   @Nested
   class Weights {
     @Test
--- a/cli/src/test/java/org/marigoldmill/cli/process/Spawned.java
+++ b/cli/src/test/java/org/marigoldmill/cli/process/Spawned.java
@@ -55,6 +55,10 @@
     signal("-TERM");
   }
 
+  public void hangUp() {
+    signal("-HUP");
+  }
+
   public void restart() {
     start();
   }
