--- a/cli/src/test/java/org/marigoldmill/cli/architecture/ArchitectureTest.java
+++ b/cli/src/test/java/org/marigoldmill/cli/architecture/ArchitectureTest.java
@@ -6,8 +6,16 @@
 import com.tngtech.archunit.core.domain.JavaClasses;
 import com.tngtech.archunit.core.importer.ClassFileImporter;
 import com.tngtech.archunit.core.importer.ImportOption;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
 import java.time.Clock;
 import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import java.util.stream.Stream;
 import org.junit.jupiter.api.Test;
 
 class ArchitectureTest {
@@ -80,4 +88,42 @@
             "io.undertow.server.handlers.proxy..", "io.grpc.xds..", "io.grpc.grpclb..")
         .check(CLASSES);
   }
+
+  @Test
+  void should_know_the_users_platform_only_in_its_own_module_and_the_command_line() {
+    noClasses()
+        .that()
+        .resideInAnyPackage(
+            "org.marigoldmill.core..",
+            "org.marigoldmill.http..",
+            "org.marigoldmill.server..",
+            "org.marigoldmill.standin..",
+            "org.marigoldmill.bench..")
+        .should()
+        .dependOnClassesThat()
+        .resideInAPackage("org.marigoldmill.platform..")
+        .check(CLASSES);
+  }
+
+  @Test
+  void should_keep_the_platforms_words_in_its_own_module() throws IOException {
+    Pattern words =
+        Pattern.compile(
+            "X-Attempt-Id|X-Server-Seal|X-Duty-Holder|X-Not-Executed|X-Expect-Instance"
+                + "|X-Weight-Versions|/-/lots|/-/order|/-/log-|dead_letter|\\btenant|\\blot(s)?\\b",
+            Pattern.CASE_INSENSITIVE);
+    Path root = Path.of("").toAbsolutePath().getParent();
+    List<String> found = new ArrayList<>();
+    for (String module : List.of("core", "http", "server", "cli", "standin", "declare", "bench")) {
+      try (Stream<Path> files = Files.walk(root.resolve(module).resolve("src/main/java"))) {
+        for (Path file : files.filter(f -> f.toString().endsWith(".java")).toList()) {
+          Matcher matcher = words.matcher(Files.readString(file));
+          if (matcher.find()) {
+            found.add(root.relativize(file) + ": " + matcher.group());
+          }
+        }
+      }
+    }
+    assertThat(found).isEmpty();
+  }
 }
--- a/core/src/main/java/org/marigoldmill/core/submission/PartitionState.java
+++ b/core/src/main/java/org/marigoldmill/core/submission/PartitionState.java
@@ -106,11 +106,11 @@
     return submissions.values().stream().flatMap(s -> s.whole().stream()).toList();
   }
 
-  /** Returns all submissions that were accepted before a time, in Unix milliseconds. */
-  public synchronized List<String> acceptedBefore(long unixMs) {
-    return submissions.entrySet().stream()
-        .filter(e -> e.getValue().whole().filter(h -> h.getAcceptedAtMs() < unixMs).isPresent())
-        .map(Map.Entry::getKey)
+  /** Returns ended submissions that were accepted before a time, in Unix milliseconds. */
+  public synchronized List<String> endedBefore(long unixMs) {
+    return heads().stream()
+        .filter(h -> h.getEnded() && h.getAcceptedAtMs() < unixMs)
+        .map(Submission::getId)
         .toList();
   }
 
--- a/core/src/test/java/org/marigoldmill/core/submission/PartitionStateTest.java
+++ b/core/src/test/java/org/marigoldmill/core/submission/PartitionStateTest.java
@@ -114,6 +114,21 @@
     }
   }
 
+  @Nested
+  class EndedBefore {
+    @Test
+    void should_list_only_ended_submissions_when_they_are_old_enough() {
+      // GIVEN
+      append(state.accept(HEAD.toBuilder().setAcceptedAtMs(50).build(), ITEMS, CHUNK_BYTES));
+      assertThat(state.endedBefore(100)).isEmpty();
+      // WHEN
+      append(state.end("s"));
+      // THEN
+      assertThat(state.endedBefore(50)).isEmpty();
+      assertThat(state.endedBefore(51)).containsExactly("s");
+    }
+  }
+
   @Nested
   class Apply {
     @Test
--- a/server/src/main/java/org/marigoldmill/server/DeploymentInstance.java
+++ b/server/src/main/java/org/marigoldmill/server/DeploymentInstance.java
@@ -13,6 +13,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.random.RandomGenerator;
+import org.marigoldmill.core.quarantine.SuspectTable;
 import org.marigoldmill.core.route.DeploymentConfig;
 import org.marigoldmill.core.routing.UpstreamTable;
 import org.marigoldmill.core.weights.EngineVersions;
@@ -33,6 +34,7 @@
 import org.marigoldmill.server.duty.UsageCounter;
 import org.marigoldmill.server.duty.UsageDuty;
 import org.marigoldmill.server.duty.WeightDuty;
+import org.marigoldmill.server.gateway.CrashWatch;
 import org.marigoldmill.server.gateway.Forwarder;
 import org.marigoldmill.server.gateway.Gateway;
 import org.marigoldmill.server.gateway.StreamCarrier;
@@ -56,6 +58,11 @@
   private static final long ENGINE_PAUSE_MS = 200;
   private static final long TICK_MS = 50;
   private static final long CALLER_LOOK_MS = 100;
+  private static final long EXPIRY_MS = 5_000;
+
+  /** Clocks of instances differ by less than this, in milliseconds. */
+  private static final long EXPIRY_MARGIN_MS = 10_000;
+
   private static final long DRAIN_POLL_MS = 20;
   private static final long BALANCER_NOTICE_MS = 2_300;
   private static final long TASK_PATIENCE_MS = 2_500;
@@ -121,12 +128,17 @@
             settings.getLeaseTtlMs(),
             settings.getTurnGuardMs(),
             Clock.suspendAware());
+    final SuspectTable suspects = new SuspectTable();
     final LoadQueue loads = new LoadQueue(settings.getParallelLoads());
     final FleetLog fleet =
-        new FleetLog(ports.store(), settings.getInstance(), registry, versions, loads, clock);
+        new FleetLog(
+            ports.store(), settings.getInstance(), registry, versions, loads, suspects, clock);
     HttpClient client = opened(HttpClient.create("upstreams", 1));
     UpstreamSender sender = new UpstreamSender(client, ports.upstreams(), upstreams, clock);
-    Forwarder forwarder = new Forwarder(registry, upstreams, sender, settings.getZone(), clock);
+    CrashWatch crashes =
+        new CrashWatch(suspects, client, fleet, pool("crashes", SMALL_POOL), clock);
+    Forwarder forwarder =
+        new Forwarder(registry, upstreams, sender, crashes, settings.getZone(), clock);
     ModelShares shares = new ModelShares(deployment, registry, partitions);
     this.rollouts =
         new Rollouts(
@@ -308,6 +320,7 @@
             clock);
     duty(TICK_MS, "weights", weights::runRound);
     duty(TICK_MS, "weight-plan", rollouts::planWeights);
+    duty(EXPIRY_MS, "expiry", this::forgetOld);
     duty(CALLER_LOOK_MS, "caller-watch", gateway::watchCallers);
     if (settings.getUsageWindowMs() > 0 && ports.duties().isPresent()) {
       UsageDuty reports =
@@ -324,6 +337,12 @@
     }
   }
 
+  /** Drops submissions whose results no longer have to be shown, each by the holder of its part. */
+  private void forgetOld() {
+    long before = System.currentTimeMillis() - settings.getResultRetentionMs() - EXPIRY_MARGIN_MS;
+    partitions.forgetEnded(before, membership::holds);
+  }
+
   private void duty(long pauseMs, String name, Duty.Round round) {
     opened(Duty.every(pauseMs, name, round));
   }
--- a/server/src/main/java/org/marigoldmill/server/batch/Partitions.java
+++ b/server/src/main/java/org/marigoldmill/server/batch/Partitions.java
@@ -1,9 +1,11 @@
 package org.marigoldmill.server.batch;
 
+import com.google.common.flogger.FluentLogger;
 import java.util.List;
 import java.util.concurrent.Executor;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.IntFunction;
+import java.util.function.IntPredicate;
 import java.util.stream.IntStream;
 import java.util.stream.Stream;
 import org.marigoldmill.core.submission.PartitionState;
@@ -15,11 +17,14 @@
 
 /** Replicas of all partitions of submissions. */
 public final class Partitions {
+  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+
   /** Where submissions and their results are stored. */
   public static final Topic TOPIC = new Topic("submissions", true);
 
   private static final long POLL_MS = 2_000;
   private static final long RETRY_MS = 50;
+  private static final long FORGET_MS = 2_000;
 
   private final List<PartitionReplica> replicas;
   private final AtomicLong changes = new AtomicLong();
@@ -69,6 +74,28 @@
     return states().flatMap(s -> s.heads().stream()).toList();
   }
 
+  /**
+   * Drops ended submissions that were accepted before a time.
+   *
+   * @param unixMs time in Unix milliseconds
+   * @param held whether this process is in charge of a partition
+   */
+  public void forgetEnded(long unixMs, IntPredicate held) {
+    IntStream.range(0, replicas.size())
+        .filter(held)
+        .mapToObj(replicas::get)
+        .filter(r -> r.follower().ready())
+        .forEach(r -> r.state().endedBefore(unixMs).forEach(id -> forget(r, id)));
+  }
+
+  private static void forget(PartitionReplica replica, String id) {
+    var unused =
+        replica
+            .commit(s -> s.forget(id), FORGET_MS)
+            .thenAccept(
+                result -> logger.atInfo().log("submission dropped id=%s outcome=%s", id, result));
+  }
+
   /** Returns a number that grows with each change. */
   public long changes() {
     return changes.get();
--- a/server/src/main/java/org/marigoldmill/server/batch/RolloutMembership.java
+++ b/server/src/main/java/org/marigoldmill/server/batch/RolloutMembership.java
@@ -59,6 +59,11 @@
     return owned.contains(partitions.index(model));
   }
 
+  /** Returns whether this instance holds a partition. */
+  public boolean holds(int partition) {
+    return owned.contains(partition);
+  }
+
   private void take(List<Integer> held) {
     Set<Integer> next = Set.copyOf(held);
     if (!next.equals(owned)) {
--- a/server/src/main/java/org/marigoldmill/server/duty/FleetLog.java
+++ b/server/src/main/java/org/marigoldmill/server/duty/FleetLog.java
@@ -8,6 +8,7 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.TreeMap;
+import org.marigoldmill.core.quarantine.SuspectTable;
 import org.marigoldmill.core.submission.KeyedRecord;
 import org.marigoldmill.core.weights.EngineVersions;
 import org.marigoldmill.core.weights.LoadQueue;
@@ -18,6 +19,7 @@
 import org.marigoldmill.schema.fleet.UsageTally;
 import org.marigoldmill.schema.fleet.WantedWeights;
 import org.marigoldmill.schema.log.Usage;
+import org.marigoldmill.schema.peer.Suspect;
 import org.marigoldmill.server.Clock;
 import org.marigoldmill.server.deployment.EngineRegistry;
 import org.marigoldmill.server.store.LogStore;
@@ -38,6 +40,7 @@
   private final EngineRegistry registry;
   private final EngineVersions versions;
   private final LoadQueue loads;
+  private final SuspectTable suspects;
   private final Clock clock;
   private final PartitionFollower follower;
   private final TreeMap<Long, Map<String, Long>> tallies = new TreeMap<>();
@@ -50,12 +53,14 @@
       EngineRegistry registry,
       EngineVersions versions,
       LoadQueue loads,
+      SuspectTable suspects,
       Clock clock) {
     this.store = store;
     this.instance = instance;
     this.registry = registry;
     this.versions = versions;
     this.loads = loads;
+    this.suspects = suspects;
     this.clock = clock;
     this.follower = new PartitionFollower(store, TOPIC, 0, POLL_MS, 0, this, clock);
   }
@@ -96,6 +101,13 @@
     return append(FleetRecord.newBuilder().setWanted(wanted));
   }
 
+  /** Tells that an upstream crashed while it ran a request. */
+  public LogStore.Outcome crashed(String fingerprint, String upstream) {
+    Suspect suspect =
+        Suspect.newBuilder().setFingerprint(fingerprint).addUpstreams(upstream).build();
+    return append(FleetRecord.newBuilder().setSuspect(suspect));
+  }
+
   /** Returns the requests of each organisation that instances told for a window. */
   public synchronized Map<String, Long> told(long window) {
     return Map.copyOf(tallies.getOrDefault(window, Map.of()));
@@ -122,6 +134,7 @@
       case SEAL -> seals.putIfAbsent(told.getSeal().getWindow(), counts(told.getSeal()));
       case ORDER -> note(told.getOrder());
       case WANTED -> wish(told.getWanted());
+      case SUSPECT -> suspects.merge(List.of(told.getSuspect()), clock.now());
       default -> {
         // The body is of a newer version.
       }
--- a/server/src/main/java/org/marigoldmill/server/gateway/Forwarder.java
+++ b/server/src/main/java/org/marigoldmill/server/gateway/Forwarder.java
@@ -82,6 +82,7 @@
   private final EngineRegistry registry;
   private final UpstreamTable upstreams;
   private final UpstreamSender sender;
+  private final CrashWatch crashes;
   private final String zone;
   private final Clock clock;
 
@@ -90,11 +91,13 @@
       EngineRegistry registry,
       UpstreamTable upstreams,
       UpstreamSender sender,
+      CrashWatch crashes,
       String zone,
       Clock clock) {
     this.registry = registry;
     this.upstreams = upstreams;
     this.sender = sender;
+    this.crashes = crashes;
     this.zone = zone;
     this.clock = clock;
   }
@@ -140,6 +143,11 @@
         kind = maybeRun ? ErrorKind.UPSTREAM_LOST : ErrorKind.NO_UPSTREAM;
         return false;
       }
+      if (crashes.holds(request)) {
+        logger.atInfo().log("request quarantined id=%s", request.id());
+        kind = maybeRun ? ErrorKind.UPSTREAM_LOST : ErrorKind.NO_UPSTREAM;
+        return false;
+      }
       Optional<Engine> chosen = choose();
       if (chosen.isEmpty()) {
         return false;
@@ -194,6 +202,7 @@
         return judge(instance, got);
       } catch (CallFailure e) {
         upstreams.failed(instance, clock.now());
+        crashes.lost(request, target, e);
         return lost(e);
       } catch (RuntimeException e) {
         upstreams.released(instance);
@@ -221,6 +230,7 @@
       }
       ran = true;
       maybeRun = true;
+      crashes.survived(request);
       if (got.status() == 500) {
         failures++;
       }
