--- a/server/src/main/java/org/marigoldmill/server/DeploymentInstance.java
+++ b/server/src/main/java/org/marigoldmill/server/DeploymentInstance.java
@@ -60,6 +60,9 @@
   private static final long CALLER_LOOK_MS = 100;
   private static final long EXPIRY_MS = 5_000;
 
+  /** An instance without the store can take no submission, so callers better go elsewhere. */
+  private static final long STORE_PATIENCE_MS = 800;
+
   /** Clocks of instances differ by less than this, in milliseconds. */
   private static final long EXPIRY_MARGIN_MS = 10_000;
 
@@ -191,6 +194,7 @@
   public boolean ready() {
     return !draining.get()
         && deployment.config().isPresent()
+        && operatorFollower.unreachableMs() < STORE_PATIENCE_MS
         && engineFollower.ready()
         && partitions.ready();
   }
--- a/server/src/main/java/org/marigoldmill/server/gateway/SubmissionService.java
+++ b/server/src/main/java/org/marigoldmill/server/gateway/SubmissionService.java
@@ -4,6 +4,8 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
 import org.marigoldmill.core.error.ErrorKind;
 import org.marigoldmill.core.error.MarigoldmillException;
 import org.marigoldmill.core.submission.PartitionState;
@@ -19,7 +21,10 @@
 /** Accepts, shows and ends submissions; any instance can answer for any of them. */
 public final class SubmissionService {
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
-  private static final long COMMIT_MS = 2_500;
+
+  /** A caller comes again at another instance, so it is not kept longer than a slow store takes. */
+  private static final long COMMIT_MS = 900;
+
   private static final long LONGEST_WAIT_MS = 1_000;
   private static final long RETRY_AFTER_MS = 300;
 
@@ -50,8 +55,11 @@
   public HttpAnswer accept(CallerProtocol.Submitted submitted) {
     Submission head = submitted.head();
     PartitionReplica replica = partitions.of(head.getId());
+    // A store that is known to be away cannot take it, so the caller hears that at once.
     PartitionReplica.Result result =
-        commit(replica, s -> s.accept(head, submitted.items(), chunkBytes));
+        replica.follower().unreachableMs() > 0
+            ? PartitionReplica.Result.NOT_DONE
+            : commit(replica, s -> s.accept(head, submitted.items(), chunkBytes));
     logger.atInfo().log(
         "submission id=%s organisation=%s model=%s step=%d min_version=%d items=%d outcome=%s",
         head.getId(),
@@ -167,7 +175,9 @@
 
   private PartitionReplica.Result commit(PartitionReplica replica, PartitionReplica.Change change) {
     try {
-      return replica.commit(change, COMMIT_MS).get();
+      return replica.commit(change, COMMIT_MS).get(COMMIT_MS, TimeUnit.MILLISECONDS);
+    } catch (TimeoutException e) {
+      return PartitionReplica.Result.UNKNOWN;
     } catch (InterruptedException e) {
       Thread.currentThread().interrupt();
       return PartitionReplica.Result.UNKNOWN;
--- a/server/src/main/java/org/marigoldmill/server/store/PartitionFollower.java
+++ b/server/src/main/java/org/marigoldmill/server/store/PartitionFollower.java
@@ -42,7 +42,7 @@
   private final Clock clock;
   private long next;
   private boolean loaded;
-  private boolean unreachable;
+  private volatile long unreachableSince = NEVER;
   private volatile long currentAt = NEVER;
   private volatile boolean ready;
 
@@ -94,6 +94,7 @@
         long asked = clock.now();
         follow(0);
         if (currentAt >= asked) {
+          reachable();
           return true;
         }
       }
@@ -121,6 +122,12 @@
     return currentAt == NEVER ? Long.MAX_VALUE : clock.now() - currentAt;
   }
 
+  /** Returns the milliseconds for which the store has not answered, or 0 when it does. */
+  public long unreachableMs() {
+    long since = unreachableSince;
+    return since == NEVER ? 0 : Math.max(1, clock.now() - since);
+  }
+
   /** Reads on; returns whether records came. */
   private boolean follow(long wait) {
     long asked = clock.now();
@@ -210,8 +217,8 @@
   }
 
   private synchronized void lost(StoreUnavailable e) {
-    if (!unreachable) {
-      unreachable = true;
+    if (unreachableSince == NEVER) {
+      unreachableSince = clock.now();
       logger.atWarning().log(
           "dependency lost name=store topic=%s partition=%d age_ms=%d cause=%s",
           topic.name(), partition, ageMs(), e.getMessage());
@@ -219,8 +226,8 @@
   }
 
   private synchronized void reachable() {
-    if (unreachable) {
-      unreachable = false;
+    if (unreachableSince != NEVER) {
+      unreachableSince = NEVER;
       logger.atInfo().log(
           "dependency regained name=store topic=%s partition=%d next=%d",
           topic.name(), partition, next);
