Give an item up only after as many failures as both routes allow

Ruled out: failures of the item's runs (its only run ended with 200). Only answers with the upstream's proof count now.

--- a/server/src/main/java/org/marigoldmill/server/batch/ItemRunner.java
+++ b/server/src/main/java/org/marigoldmill/server/batch/ItemRunner.java
@@ -7,11 +7,11 @@
 import org.marigoldmill.core.error.ErrorKind;
 import org.marigoldmill.core.placement.Engine;
 import org.marigoldmill.core.placement.EngineLoads;
-import org.marigoldmill.core.route.DeploymentConfig;
 import org.marigoldmill.core.route.Route;
 import org.marigoldmill.core.submission.EventReader;
 import org.marigoldmill.core.submission.GeneratedEvent;
 import org.marigoldmill.core.submission.GeneratedText;
+import org.marigoldmill.core.submission.GiveUpRule;
 import org.marigoldmill.core.weights.EngineVersions;
 import org.marigoldmill.http.CallFailure;
 import org.marigoldmill.http.Cancellation;
@@ -268,7 +268,9 @@
           failures,
           outcome.kind(),
           outcome.answer().map(HttpAnswer::status).orElse(0));
-      if (failures >= task.submission().getMaxAttempts()) {
+      int itemAttempts = task.submission().getMaxAttempts();
+      int rewardAttempts = rewardRoute(task.item().getReward()).map(Route::maxAttempts).orElse(0);
+      if (GiveUpRule.rewardFailed(failures, itemAttempts, rewardAttempts)) {
         giveUp(task, "its reward call failed at each run");
         return Optional.empty();
       }
@@ -278,8 +280,7 @@
   }
 
   private Forwarder.Outcome reward(RewardCall reward) {
-    DeploymentConfig config = deployment.config().orElseThrow();
-    Optional<Route> route = config.route(reward.getHost(), reward.getPath());
+    Optional<Route> route = rewardRoute(reward);
     if (route.isEmpty()) {
       return new Forwarder.Outcome(Optional.empty(), ErrorKind.NOT_FOUND, 0, false, 0, 0, "");
     }
@@ -298,6 +299,10 @@
             new Cancellation()));
   }
 
+  private Optional<Route> rewardRoute(RewardCall reward) {
+    return deployment.config().flatMap(c -> c.route(reward.getHost(), reward.getPath()));
+  }
+
   private void giveUp(ItemTask task, String why) {
     logger.atInfo().log(
         "item given up id=%s submission=%s cause=%s",
--- a/server/src/main/java/org/marigoldmill/server/batch/ItemTask.java
+++ b/server/src/main/java/org/marigoldmill/server/batch/ItemTask.java
@@ -1,6 +1,7 @@
 package org.marigoldmill.server.batch;
 
 import org.marigoldmill.core.submission.GeneratedText;
+import org.marigoldmill.core.submission.GiveUpRule;
 import org.marigoldmill.http.Cancellation;
 import org.marigoldmill.schema.submission.RolloutItem;
 import org.marigoldmill.schema.submission.Submission;
@@ -96,7 +97,7 @@
   /** Counts a failed run; returns whether the item is to be given up. */
   boolean failed() {
     failures++;
-    return failures >= submission.getMaxAttempts();
+    return GiveUpRule.itemFailed(failures, submission.getMaxAttempts());
   }
 
   /** Returns what cuts the attempt in progress. */
--- a/server/src/main/java/org/marigoldmill/server/gateway/Forwarder.java
+++ b/server/src/main/java/org/marigoldmill/server/gateway/Forwarder.java
@@ -231,7 +231,7 @@
       ran = true;
       maybeRun = true;
       crashes.survived(request);
-      if (got.status() == 500) {
+      if (got.status() == 500 && protocol.proof(got.headers()).isPresent()) {
         failures++;
       }
       boolean good = got.successful() && protocol.proof(got.headers()).isPresent();
