--- a/server/src/main/java/org/marigoldmill/server/DeploymentInstance.java
+++ b/server/src/main/java/org/marigoldmill/server/DeploymentInstance.java
@@ -83,6 +83,7 @@
   private final Deque<AutoCloseable> parts = new ArrayDeque<>();
   private final CountDownLatch stopped = new CountDownLatch(1);
   private final AtomicBoolean draining = new AtomicBoolean();
+  private final AtomicBoolean toldReady = new AtomicBoolean();
   private final Metrics metrics = new Metrics();
   private final EngineVersions versions = new EngineVersions();
   private final UpstreamTable upstreams = UpstreamTable.with(RandomGenerator.getDefault());
@@ -192,6 +193,21 @@
 
   /** Returns whether callers may be sent here. */
   public boolean ready() {
+    boolean now = usable();
+    if (toldReady.getAndSet(now) != now) {
+      logger.atInfo().log(
+          "ready=%s stopping=%s config=%s engines=%s partitions=%s store_away_ms=%d",
+          now,
+          draining.get(),
+          deployment.config().isPresent(),
+          engineFollower.ready(),
+          partitions.ready(),
+          operatorFollower.unreachableMs());
+    }
+    return now;
+  }
+
+  private boolean usable() {
     return !draining.get()
         && deployment.config().isPresent()
         && operatorFollower.unreachableMs() < STORE_PATIENCE_MS
