A stopping instance goes on with the items that it has begun

Now it leaves the group at once and tells which items it keeps until the end of its grace; the next holder starts the others. The test of ended submissions counted runs of items of the same names in two submissions, and two runs of an item while the group settles are allowed; it now looks at the ended submission's items alone.

--- a/cli/src/test/java/org/marigoldmill/cli/deployment/DeploymentIT.java
+++ b/cli/src/test/java/org/marigoldmill/cli/deployment/DeploymentIT.java
@@ -102,16 +102,21 @@
     @Test
     void should_run_no_more_items_when_the_submission_has_ended() {
       // GIVEN
-      assertThat(post(0, "/batch/s2", "s2", submission()).status()).isEqualTo(202);
-      assertThat(item(1, "s2", "item-11").text()).isEqualTo("body of item-11");
+      assertThat(post(0, "/batch/s2", "s2", submission("ended")).status()).isEqualTo(202);
+      assertThat(item(1, "s2", "ended-11").text()).isEqualTo("body of ended-11");
       // WHEN
       assertThat(ask(1, "DELETE", "/-/lots/s2").status()).isEqualTo(200);
       await(() -> ask(0, "DELETE", "/-/lots/s2").status() == 200);
-      int runs = engine.runs().size();
-      // THEN
+      // THEN: the end has long been read once another submission has its first result
       assertThat(post(0, "/batch/s3", "s3", submission()).status()).isEqualTo(202);
+      await(() -> results(0, "s3", 0).get("next").asInt() > 0);
+      final long runs = runsOf("ended");
       await(() -> results(0, "s3", 0).get("next").asInt() == ITEMS);
-      assertThat(engine.runs().size() - runs).isLessThanOrEqualTo(ITEMS);
+      assertThat(runsOf("ended")).isEqualTo(runs).isLessThan(ITEMS);
+    }
+
+    private long runsOf(String prefix) {
+      return engine.runs().stream().filter(r -> r.startsWith(prefix)).distinct().count();
     }
 
     @Test
@@ -247,11 +252,15 @@
   }
 
   private static ObjectNode submission() {
+    return submission("item");
+  }
+
+  private static ObjectNode submission(String prefix) {
     ObjectNode body = MAPPER.createObjectNode();
     body.put("step", 0).put("model", "m").put("min_version", 1).put("desired", 3);
     ArrayNode items = body.putArray("items");
     for (int i = 0; i < ITEMS; i++) {
-      String id = "item-" + i;
+      String id = prefix + "-" + i;
       ObjectNode item = items.addObject().put("id", id).put("path", "/gen/" + id);
       item.put("body", encoded("body of " + id)).put("tokens", 20).put("group", "g" + i / 4);
       item.putObject("headers").put("X-Model", "m").put("X-Token-Counts", "10,10");
--- a/server/src/main/java/org/marigoldmill/server/DeploymentInstance.java
+++ b/server/src/main/java/org/marigoldmill/server/DeploymentInstance.java
@@ -68,7 +68,6 @@
 
   private static final long DRAIN_POLL_MS = 20;
   private static final long BALANCER_NOTICE_MS = 2_300;
-  private static final long TASK_PATIENCE_MS = 2_500;
   private static final long STOP_RESERVE_MS = 1_200;
   private static final int IDLE_THREAD_SECONDS = 5;
   private static final int MOST_TASKS = 256;
@@ -94,6 +93,7 @@
   private final Partitions partitions;
   private final RolloutMembership membership;
   private final DutyLeaseHolder lease;
+  private final FleetLog fleet;
   private final Rollouts rollouts;
   private final Gateway gateway;
   private Optional<HttpServer> callerServer = Optional.empty();
@@ -134,9 +134,16 @@
             Clock.suspendAware());
     final SuspectTable suspects = new SuspectTable();
     final LoadQueue loads = new LoadQueue(settings.getParallelLoads());
-    final FleetLog fleet =
+    this.fleet =
         new FleetLog(
-            ports.store(), settings.getInstance(), registry, versions, loads, suspects, clock);
+            ports.store(),
+            settings.getInstance(),
+            registry,
+            versions,
+            loads,
+            suspects,
+            System::currentTimeMillis,
+            clock);
     HttpClient client = opened(HttpClient.create("upstreams", 1));
     UpstreamSender sender = new UpstreamSender(client, ports.upstreams(), upstreams, clock);
     CrashWatch crashes =
@@ -173,8 +180,8 @@
             metrics,
             clock);
     serve(readyPath);
-    follow(fleet);
-    startDuties(fleet, usage, loads, client);
+    follow();
+    startDuties(usage, loads, client);
   }
 
   /**
@@ -224,14 +231,14 @@
     final long noticed = clock.now() + BALANCER_NOTICE_MS;
     logger.atInfo().log("stopping open=%d items=%d", gateway.open(), rollouts.running());
     gateway.drain();
-    rollouts.stopStarting();
-    lease.release();
-    long tasksUntil = clock.now() + TASK_PATIENCE_MS;
-    while (rollouts.running() > 0 && clock.now() < tasksUntil) {
-      pause();
+    List<String> kept = rollouts.stopStarting();
+    if (!kept.isEmpty()) {
+      fleet.kept(kept, System.currentTimeMillis() + settings.getGraceMs() - STOP_RESERVE_MS);
     }
     membership.leave();
-    while (clock.now() < noticed || (gateway.open() > 0 && clock.now() < until)) {
+    lease.release();
+    while (clock.now() < noticed
+        || (gateway.open() + rollouts.running() > 0 && clock.now() < until)) {
       pause();
     }
     rollouts.cancelAll();
@@ -313,7 +320,7 @@
     return operatorFollower.ageMs() / 1e3;
   }
 
-  private void follow(FleetLog fleet) {
+  private void follow() {
     duty(0, "operator", operatorFollower::runRound);
     duty(0, "engines", engineFollower::runRound);
     duty(0, "fleet", fleet.follower()::runRound);
@@ -323,7 +330,7 @@
     }
   }
 
-  private void startDuties(FleetLog fleet, UsageCounter usage, LoadQueue loads, HttpClient client) {
+  private void startDuties(UsageCounter usage, LoadQueue loads, HttpClient client) {
     duty(settings.getGroupTtlMs() / 3, "membership", membership::runRound);
     duty(TICK_MS, "lease", lease::runRound);
     duty(0, "rollouts", rollouts::runRound);
--- a/server/src/main/java/org/marigoldmill/server/batch/ItemTask.java
+++ b/server/src/main/java/org/marigoldmill/server/batch/ItemTask.java
@@ -35,6 +35,16 @@
     return item;
   }
 
+  /** Returns the name of the item among all submissions. */
+  String key() {
+    return submission.getId() + "/" + item.getId();
+  }
+
+  /** Returns whether an attempt has ever begun here. */
+  boolean begun() {
+    return !engine.isEmpty();
+  }
+
   /** Returns the place of the item in its submission. */
   int index() {
     return index;
--- a/server/src/main/java/org/marigoldmill/server/batch/RolloutScheduler.java
+++ b/server/src/main/java/org/marigoldmill/server/batch/RolloutScheduler.java
@@ -17,6 +17,7 @@
 import org.marigoldmill.schema.submission.RolloutItem;
 import org.marigoldmill.schema.submission.Submission;
 import org.marigoldmill.server.Clock;
+import org.marigoldmill.server.duty.FleetLog;
 
 /** Starts the open items of the models that this instance generates for. */
 public final class RolloutScheduler {
@@ -49,6 +50,7 @@
   private final EngineVersions versions;
   private final ItemRunner runner;
   private final Executor executor;
+  private final FleetLog fleet;
   private final String zone;
   private final Clock clock;
   private final Map<String, ItemTask> tasks = new LinkedHashMap<>();
@@ -65,6 +67,7 @@
       EngineVersions versions,
       ItemRunner runner,
       Executor executor,
+      FleetLog fleet,
       String zone,
       Clock clock) {
     this.partitions = partitions;
@@ -74,6 +77,7 @@
     this.versions = versions;
     this.runner = runner;
     this.executor = executor;
+    this.fleet = fleet;
     this.zone = zone;
     this.clock = clock;
   }
@@ -86,10 +90,8 @@
         reconcile();
         reconciled = seen;
       }
-      if (!stopping) {
-        start();
-        move();
-      }
+      start();
+      move();
     }
     if (partitions.changes() == seen) {
       partitions.awaitChange(TICK_MS);
@@ -109,9 +111,14 @@
         waiting.stream().anyMatch(Submission::getSingleVersion));
   }
 
-  /** Starts no more attempts. */
-  public void stopStarting() {
+  /**
+   * Starts no more items, and goes on with those that have begun.
+   *
+   * @return the items that go on here
+   */
+  public synchronized List<String> stopStarting() {
     stopping = true;
+    return tasks.values().stream().filter(ItemTask::begun).map(ItemTask::key).toList();
   }
 
   /** Returns the attempts in progress. */
@@ -128,7 +135,7 @@
   private void reconcile() {
     Set<String> wanted = new HashSet<>();
     for (Submission submission : partitions.open()) {
-      if (!membership.owns(submission.getModel())) {
+      if (!stopping && !membership.owns(submission.getModel())) {
         continue;
       }
       List<RolloutItem> items =
@@ -137,8 +144,10 @@
         RolloutItem item = items.get(i);
         String key = submission.getId() + "/" + item.getId();
         wanted.add(key);
-        int index = i;
-        tasks.computeIfAbsent(key, k -> new ItemTask(submission, item, index));
+        if (!stopping) {
+          int index = i;
+          tasks.computeIfAbsent(key, k -> new ItemTask(submission, item, index));
+        }
       }
     }
     tasks
@@ -156,7 +165,7 @@
   private void start() {
     long now = clock.now();
     List<ItemTask> ready =
-        tasks.values().stream().filter(t -> t.ready(now)).sorted(START_ORDER).toList();
+        tasks.values().stream().filter(t -> t.ready(now) && mine(t)).sorted(START_ORDER).toList();
     if (ready.isEmpty()) {
       return;
     }
@@ -171,6 +180,11 @@
     }
   }
 
+  /** A stopping instance goes on with what it has begun, and others leave that to it. */
+  private boolean mine(ItemTask task) {
+    return stopping ? task.begun() : !fleet.keptElsewhere(task.key());
+  }
+
   private boolean suits(Engine engine, Submission submission, long now) {
     String model = submission.getModel();
     return !versions.loading(engine.id(), model, now)
--- a/server/src/main/java/org/marigoldmill/server/batch/Rollouts.java
+++ b/server/src/main/java/org/marigoldmill/server/batch/Rollouts.java
@@ -1,5 +1,6 @@
 package org.marigoldmill.server.batch;
 
+import java.util.List;
 import java.util.concurrent.Executor;
 import org.marigoldmill.core.placement.EngineLoads;
 import org.marigoldmill.core.weights.EngineVersions;
@@ -34,7 +35,7 @@
         new ItemRunner(deployment, loads, versions, sender, forwarder, partitions, metrics, clock);
     this.scheduler =
         new RolloutScheduler(
-            partitions, membership, shares, loads, versions, runner, executor, zone, clock);
+            partitions, membership, shares, loads, versions, runner, executor, fleet, zone, clock);
     this.planner =
         new WeightPlanner(scheduler, membership, shares, loads, versions, deployment, fleet, clock);
   }
@@ -49,9 +50,9 @@
     planner.runRound();
   }
 
-  /** Starts no more attempts. */
-  public void stopStarting() {
-    scheduler.stopStarting();
+  /** Starts no more items; returns those that have begun and go on here. */
+  public List<String> stopStarting() {
+    return scheduler.stopStarting();
   }
 
   /** Cuts all attempts. */
--- a/server/src/main/java/org/marigoldmill/server/duty/FleetLog.java
+++ b/server/src/main/java/org/marigoldmill/server/duty/FleetLog.java
@@ -8,12 +8,15 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.TreeMap;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.LongSupplier;
 import org.marigoldmill.core.quarantine.SuspectTable;
 import org.marigoldmill.core.submission.KeyedRecord;
 import org.marigoldmill.core.weights.EngineVersions;
 import org.marigoldmill.core.weights.LoadQueue;
 import org.marigoldmill.core.weights.WeightPlan;
 import org.marigoldmill.schema.fleet.FleetRecord;
+import org.marigoldmill.schema.fleet.KeptItems;
 import org.marigoldmill.schema.fleet.OrderedWeights;
 import org.marigoldmill.schema.fleet.UsageSeal;
 import org.marigoldmill.schema.fleet.UsageTally;
@@ -41,6 +44,8 @@
   private final EngineVersions versions;
   private final LoadQueue loads;
   private final SuspectTable suspects;
+  private final LongSupplier unixMs;
+  private final Map<String, Long> kept = new ConcurrentHashMap<>();
   private final Clock clock;
   private final PartitionFollower follower;
   private final TreeMap<Long, Map<String, Long>> tallies = new TreeMap<>();
@@ -54,6 +59,7 @@
       EngineVersions versions,
       LoadQueue loads,
       SuspectTable suspects,
+      LongSupplier unixMs,
       Clock clock) {
     this.store = store;
     this.instance = instance;
@@ -61,6 +67,7 @@
     this.versions = versions;
     this.loads = loads;
     this.suspects = suspects;
+    this.unixMs = unixMs;
     this.clock = clock;
     this.follower = new PartitionFollower(store, TOPIC, 0, POLL_MS, 0, this, clock);
   }
@@ -108,6 +115,19 @@
     return append(FleetRecord.newBuilder().setSuspect(suspect));
   }
 
+  /** Tells which items this instance still generates while it stops. */
+  public LogStore.Outcome kept(List<String> items, long untilUnixMs) {
+    return append(
+        FleetRecord.newBuilder()
+            .setKept(KeptItems.newBuilder().addAllItems(items).setUntilUnixMs(untilUnixMs)));
+  }
+
+  /** Returns whether another instance still generates an item, as SUBMISSION/ITEM. */
+  public boolean keptElsewhere(String item) {
+    Long until = kept.get(item);
+    return until != null && unixMs.getAsLong() < until;
+  }
+
   /** Returns the requests of each organisation that instances told for a window. */
   public synchronized Map<String, Long> told(long window) {
     return Map.copyOf(tallies.getOrDefault(window, Map.of()));
@@ -134,6 +154,7 @@
       case SEAL -> seals.putIfAbsent(told.getSeal().getWindow(), counts(told.getSeal()));
       case ORDER -> note(told.getOrder());
       case WANTED -> wish(told.getWanted());
+      case KEPT -> keep(told);
       case SUSPECT -> suspects.merge(List.of(told.getSuspect()), clock.now());
       default -> {
         // The body is of a newer version.
@@ -150,6 +171,13 @@
         .forEach(u -> counts.merge(u.getOrganisation(), u.getRequests(), Long::sum));
   }
 
+  private void keep(FleetRecord told) {
+    kept.values().removeIf(until -> until < unixMs.getAsLong());
+    if (!told.getInstance().equals(instance)) {
+      told.getKept().getItemsList().forEach(i -> kept.put(i, told.getKept().getUntilUnixMs()));
+    }
+  }
+
   private void note(OrderedWeights order) {
     registry
         .engine(order.getEngine())
