A lease whose record was dropped unread counts as held by someone

Cause: a process that had not read the last claim before the store dropped its history saw no lease and claimed at once, beside the holder. Now it waits as for any other holder.

--- a/server/src/main/java/org/marigoldmill/server/duty/DutyLeaseHolder.java
+++ b/server/src/main/java/org/marigoldmill/server/duty/DutyLeaseHolder.java
@@ -29,6 +29,7 @@
 
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
   private static final String SCOPE = "duties";
+  private static final String UNKNOWN_HOLDER = "";
   private static final long GUARD_MS = 300;
 
   private final LogStore store;
@@ -41,6 +42,7 @@
   private long end;
   private DutyLease last = DutyLease.getDefaultInstance();
   private boolean holding;
+  private boolean missed;
 
   /**
    * Creates the holder of one process.
@@ -109,6 +111,7 @@
   @Override
   public synchronized void reset() {
     last = DutyLease.getDefaultInstance();
+    missed = true;
   }
 
   @Override
@@ -131,9 +134,20 @@
     keeper.observe(Optional.of(state), clock.now());
   }
 
+  /** Records that were dropped unread may have given the lease to anyone until now. */
   @Override
   public synchronized void advanced(long offset) {
     end = offset;
+    if (missed) {
+      missed = false;
+      LeaseState unknown =
+          LeaseState.newBuilder()
+              .setScope(SCOPE)
+              .setHolder(UNKNOWN_HOLDER)
+              .setLastOffset(offset)
+              .build();
+      keeper.observe(Optional.of(unknown), clock.now());
+    }
   }
 
   private void send(String appendId, LeaseClaim claim) {
