--- a/cli/src/test/java/org/marigoldmill/cli/process/DeploymentProcess.java
+++ b/cli/src/test/java/org/marigoldmill/cli/process/DeploymentProcess.java
@@ -2,8 +2,6 @@
 
 import java.io.IOException;
 import java.io.UncheckedIOException;
-import java.net.InetAddress;
-import java.net.ServerSocket;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
@@ -24,8 +22,8 @@
 
   /** Starts an instance. */
   public static DeploymentProcess start(String name, Path directory, String store) {
-    String caller = freeAddress();
-    String ready = freeAddress();
+    String caller = ProcessCluster.freeAddress();
+    String ready = ProcessCluster.freeAddress();
     String settings =
         String.join(
             "\n",
@@ -33,7 +31,7 @@
             "zone = \"a\"",
             "caller_address = \"" + caller + "\"",
             "ready_address = \"" + ready + "\"",
-            "metrics_address = \"" + freeAddress() + "\"",
+            "metrics_address = \"" + ProcessCluster.freeAddress() + "\"",
             "store = \"" + store + "\"",
             "turn_guard_ms = 500",
             "");
@@ -69,12 +67,4 @@
   public void kill() {
     process.kill();
   }
-
-  private static String freeAddress() {
-    try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-      return "127.0.0.1:" + socket.getLocalPort();
-    } catch (IOException e) {
-      throw new UncheckedIOException(e);
-    }
-  }
 }
--- a/cli/src/test/java/org/marigoldmill/cli/process/ProcessCluster.java
+++ b/cli/src/test/java/org/marigoldmill/cli/process/ProcessCluster.java
@@ -378,7 +378,7 @@
   }
 
   /** Takes ports below those that the system hands out for outgoing connections. */
-  private static String freeAddress() {
+  static String freeAddress() {
     int port = FIRST_PORT + NEXT_PORT.getAndIncrement() % PORTS;
     while (!free(port)) {
       port = FIRST_PORT + NEXT_PORT.getAndIncrement() % PORTS;
--- a/server/src/main/java/org/marigoldmill/server/DeploymentInstance.java
+++ b/server/src/main/java/org/marigoldmill/server/DeploymentInstance.java
@@ -96,7 +96,7 @@
   private final FleetLog fleet;
   private final Rollouts rollouts;
   private final Gateway gateway;
-  private Optional<HttpServer> callerServer = Optional.empty();
+  private volatile Optional<HttpServer> callerServer = Optional.empty();
 
   private DeploymentInstance(DeploymentSettings settings, Ports ports, String readyPath) {
     this.settings = settings;
@@ -217,6 +217,7 @@
   private boolean usable() {
     return !draining.get()
         && deployment.config().isPresent()
+        && callerServer.isPresent()
         && operatorFollower.unreachableMs() < STORE_PATIENCE_MS
         && engineFollower.ready()
         && partitions.ready();
