--- a/server/src/main/java/org/marigoldmill/server/gateway/Forwarder.java
+++ b/server/src/main/java/org/marigoldmill/server/gateway/Forwarder.java
@@ -159,20 +159,23 @@
     }
 
     private Optional<Engine> choose() {
-      Optional<Engine> chosen = acquire(false);
+      Optional<Engine> chosen = acquire();
       if (chosen.isEmpty() && !visited.isEmpty()) {
         visited.clear();
         pause();
-        chosen = acquire(true);
+        chosen = acquire();
       }
       return chosen;
     }
 
-    private Optional<Engine> acquire(boolean again) {
-      int limit = again ? Integer.MAX_VALUE : Integer.MAX_VALUE / 2;
+    private Optional<Engine> acquire() {
       Optional<PlatformInstance> instance =
           upstreams.acquire(
-              request.service(), zone, limit, i -> !visited.contains(i.getName()), clock.now());
+              request.service(),
+              zone,
+              Integer.MAX_VALUE,
+              i -> !visited.contains(i.getName()),
+              clock.now());
       return instance.flatMap(i -> registry.engine(i.getName()));
     }
 
