--- a/cli/src/main/java/org/marigoldmill/cli/Main.java
+++ b/cli/src/main/java/org/marigoldmill/cli/Main.java
@@ -16,6 +16,8 @@
   private static final List<Command> COMMANDS =
       List.of(
           new ServeCommand(),
+          new ServeDeploymentCommand(),
+          new WarmUpCommand(),
           new SandboxCommand(),
           new StandinCommand(),
           new CheckCommand(),
@@ -87,7 +89,7 @@
 
   private static void printUsage() {
     System.err.println("usage: marigoldmill COMMAND [OPTIONS]; COMMAND --help tells more");
-    COMMANDS.forEach(c -> System.err.printf("  %-10s %s%n", c.name(), c.summary()));
+    COMMANDS.forEach(c -> System.err.printf("  %-16s %s%n", c.name(), c.summary()));
     System.err.println("exit codes: 0 done, 1 failed, 2 wrong usage or invalid file");
   }
 
--- /dev/null
+++ b/cli/src/main/java/org/marigoldmill/cli/WarmUpCommand.java
@@ -0,0 +1,57 @@
+package org.marigoldmill.cli;
+
+import joptsimple.OptionParser;
+import joptsimple.OptionSet;
+import org.marigoldmill.platform.UsersPlatform;
+import org.marigoldmill.schema.settings.DeploymentSettings;
+import org.marigoldmill.server.DeploymentInstance;
+
+/** Starts an instance without a platform and ends, so that the JVM can archive its classes. */
+final class WarmUpCommand implements Command {
+  private static final long RUN_MS = 1_500;
+  private static final String ANY_PORT = "127.0.0.1:0";
+  private static final String CLOSED_PORT = "127.0.0.1:1";
+
+  @Override
+  public String name() {
+    return "warm-up";
+  }
+
+  @Override
+  public String summary() {
+    return "start and end once, for -XX:ArchiveClassesAtExit";
+  }
+
+  @Override
+  public String example() {
+    return "warm-up";
+  }
+
+  @Override
+  public void declare(OptionParser parser) {}
+
+  @Override
+  public int run(OptionSet options) throws InterruptedException {
+    DeploymentSettings settings =
+        DeploymentSettings.newBuilder()
+            .setInstance("warm-up")
+            .setZone("none")
+            .setCallerAddress(ANY_PORT)
+            .setReadyAddress(ANY_PORT)
+            .setMetricsAddress(ANY_PORT)
+            .setStore(CLOSED_PORT)
+            .setPartitions(1)
+            .setRecordBytes(1 << 18)
+            .setCallBytes(1 << 21)
+            .setGroupTtlMs(1_000)
+            .setLeaseTtlMs(1_000)
+            .setUsageWindowMs(1_000)
+            .setWorkerThreads(2)
+            .setParallelLoads(1)
+            .build();
+    try (DeploymentInstance instance = UsersPlatform.start(settings)) {
+      Thread.sleep(RUN_MS);
+    }
+    return ExitCode.DONE;
+  }
+}
--- a/core/src/main/java/org/marigoldmill/core/error/ErrorKind.java
+++ b/core/src/main/java/org/marigoldmill/core/error/ErrorKind.java
@@ -29,6 +29,8 @@
   KNOWLEDGE_STALE(503, true, Run.NOT_RUN, "this instance may have missed key withdrawals"),
   NOT_CONFIGURED(503, true, Run.NOT_RUN, "this instance has no configuration yet"),
   CLAIM_UNAVAILABLE(503, true, Run.NOT_RUN, "no peer could confirm that the request is new"),
+  STORE_REFUSED(503, true, Run.NOT_RUN, "the store took nothing"),
+  STORE_SILENT(504, true, Run.MAYBE_RUN, "the store has not answered"),
   LOG_UNAVAILABLE(503, true, Run.MAYBE_RUN, "the log did not confirm the record"),
   DEADLINE_EXPIRED(504, true, Run.NOT_RUN, "the deadline passed before an upstream was free"),
   UPSTREAM_SILENT(504, true, Run.MAYBE_RUN, "the upstream made no progress in time");
--- /dev/null
+++ b/core/src/main/java/org/marigoldmill/core/placement/EngineShares.java
@@ -0,0 +1,120 @@
+package org.marigoldmill.core.placement;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.stream.Collectors;
+
+/**
+ * Divides the engines of a service among its models in proportion to their demand.
+ *
+ * <p>Every process computes the same division from the same engines and demands. An engine that
+ * comes or goes moves few of the others, because each pair of engine and model has a fixed rank
+ * (rendezvous hashing) and pairs are taken in that order until a model has its share.
+ */
+public final class EngineShares {
+  private final Map<String, Set<String>> enginesByModel;
+
+  private record Pair(String engine, String model, long rank) {}
+
+  private EngineShares(Map<String, Set<String>> enginesByModel) {
+    this.enginesByModel = enginesByModel;
+  }
+
+  /**
+   * Divides engines.
+   *
+   * @param engines ids of the engines that take new work
+   * @param demand work of each model in any unit; every model gets an engine
+   * @return the division
+   */
+  public static EngineShares divide(Collection<String> engines, Map<String, Double> demand) {
+    Map<String, Set<String>> shares = new HashMap<>();
+    demand.keySet().forEach(m -> shares.put(m, new HashSet<>()));
+    if (engines.isEmpty() || demand.isEmpty()) {
+      return new EngineShares(shares);
+    }
+    if (engines.size() < demand.size()) {
+      demand.keySet().forEach(m -> shares.get(m).add(closest(engines, m)));
+      return new EngineShares(shares);
+    }
+    Map<String, Integer> quotas = quotas(engines.size(), demand);
+    Set<String> taken = new HashSet<>();
+    for (Pair pair : ranked(engines, demand.keySet())) {
+      Set<String> share = shares.get(pair.model());
+      if (!taken.contains(pair.engine()) && share.size() < quotas.get(pair.model())) {
+        share.add(pair.engine());
+        taken.add(pair.engine());
+      }
+    }
+    return new EngineShares(shares);
+  }
+
+  /** Returns the engines of a model. */
+  public Set<String> engines(String model) {
+    return enginesByModel.getOrDefault(model, Set.of());
+  }
+
+  /** Splits a number of engines by largest remainder, with one at least for each model. */
+  static Map<String, Integer> quotas(int engines, Map<String, Double> demand) {
+    double total = demand.values().stream().mapToDouble(d -> d).sum();
+    int spare = engines - demand.size();
+    Map<String, Double> exact =
+        demand.entrySet().stream()
+            .collect(
+                Collectors.toMap(
+                    Map.Entry::getKey,
+                    e -> Math.max(0, share(e.getValue(), total, demand.size()) * engines - 1)));
+    double wanted = exact.values().stream().mapToDouble(d -> d).sum();
+    Map<String, Integer> quotas = new HashMap<>();
+    Map<String, Double> remainders = new HashMap<>();
+    int left = spare;
+    for (Map.Entry<String, Double> entry : exact.entrySet()) {
+      double scaled = wanted == 0 ? 0 : entry.getValue() * spare / wanted;
+      int whole = (int) Math.floor(scaled);
+      quotas.put(entry.getKey(), 1 + whole);
+      remainders.put(entry.getKey(), scaled - whole);
+      left -= whole;
+    }
+    Comparator<String> largest =
+        Comparator.comparingDouble((String m) -> remainders.get(m)).reversed();
+    List<String> order =
+        demand.keySet().stream().sorted(largest.thenComparing(Comparator.naturalOrder())).toList();
+    for (int i = 0; i < left; i++) {
+      quotas.merge(order.get(i % order.size()), 1, Integer::sum);
+    }
+    return quotas;
+  }
+
+  private static double share(double demand, double total, int models) {
+    return total == 0 ? 1.0 / models : demand / total;
+  }
+
+  private static String closest(Collection<String> engines, String model) {
+    return engines.stream()
+        .min(Comparator.comparingLong((String e) -> rank(e, model)).thenComparing(e -> e))
+        .orElseThrow();
+  }
+
+  private static List<Pair> ranked(Collection<String> engines, Collection<String> models) {
+    List<Pair> pairs = new ArrayList<>();
+    for (String engine : engines) {
+      models.forEach(m -> pairs.add(new Pair(engine, m, rank(engine, m))));
+    }
+    pairs.sort(Comparator.comparingLong(Pair::rank).thenComparing(Pair::engine));
+    return pairs;
+  }
+
+  /** Mixes both names with the finaliser of SplitMix64. */
+  private static long rank(String engine, String model) {
+    long z = engine.hashCode() * 0x9E3779B97F4A7C15L + model.hashCode();
+    z = (z ^ (z >>> 30)) * 0xBF58476D1CE4E5B9L;
+    z = (z ^ (z >>> 27)) * 0x94D049BB133111EBL;
+    return z ^ (z >>> 31);
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/marigoldmill/core/submission/KeyedRecord.java
@@ -0,0 +1,23 @@
+package org.marigoldmill.core.submission;
+
+import java.util.Optional;
+
+/**
+ * A value to store under a key.
+ *
+ * @param key stored key
+ * @param value the value, or empty to drop the key
+ */
+@SuppressWarnings("ArrayRecordComponent")
+public record KeyedRecord(String key, Optional<byte[]> value) {
+
+  /** Returns a record that stores a value. */
+  public static KeyedRecord of(SubmissionKey key, byte[] value) {
+    return new KeyedRecord(key.text(), Optional.of(value));
+  }
+
+  /** Returns a record that drops a key. */
+  public static KeyedRecord dropped(SubmissionKey key) {
+    return new KeyedRecord(key.text(), Optional.empty());
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/marigoldmill/core/submission/SubmissionKey.java
@@ -0,0 +1,65 @@
+package org.marigoldmill.core.submission;
+
+import java.util.Optional;
+
+/**
+ * Key under which a part of a submission is stored.
+ *
+ * @param part what the value holds
+ * @param submission id of the submission
+ * @param name number of a chunk or id of an item; empty for the head
+ */
+public record SubmissionKey(Part part, String submission, String name) {
+  private static final char SEPARATOR = '/';
+
+  /** What a value holds. */
+  public enum Part {
+    /** A {@code Submission}. */
+    HEAD('h'),
+    /** An {@code ItemChunk}. */
+    CHUNK('c'),
+    /** An {@code ItemResult}. */
+    RESULT('r');
+
+    private final char letter;
+
+    Part(char letter) {
+      this.letter = letter;
+    }
+  }
+
+  /** Returns the key of a submission's head. */
+  public static SubmissionKey head(String submission) {
+    return new SubmissionKey(Part.HEAD, submission, "");
+  }
+
+  /** Returns the key of a chunk of items. */
+  public static SubmissionKey chunk(String submission, int index) {
+    return new SubmissionKey(Part.CHUNK, submission, Integer.toString(index));
+  }
+
+  /** Returns the key of an item's result. */
+  public static SubmissionKey result(String submission, String item) {
+    return new SubmissionKey(Part.RESULT, submission, item);
+  }
+
+  /** Parses a stored key; empty when it has another form. */
+  public static Optional<SubmissionKey> parse(String text) {
+    int end = text.lastIndexOf(SEPARATOR);
+    if (end < 2 || text.charAt(1) != SEPARATOR) {
+      return Optional.empty();
+    }
+    for (Part part : Part.values()) {
+      if (part.letter == text.charAt(0)) {
+        return Optional.of(
+            new SubmissionKey(part, text.substring(2, end), text.substring(end + 1)));
+      }
+    }
+    return Optional.empty();
+  }
+
+  /** Returns the stored form. */
+  public String text() {
+    return "" + part.letter + SEPARATOR + submission + SEPARATOR + name;
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/marigoldmill/core/weights/EngineVersions.java
@@ -0,0 +1,76 @@
+package org.marigoldmill.core.weights;
+
+import java.util.HashMap;
+import java.util.Map;
+
+/**
+ * Which version of a model's weights each engine has, from its own word and from orders.
+ *
+ * <p>An engine's word is late by a heartbeat. So an order that it has accepted counts as carried
+ * out once a load normally takes that long, unless the engine says otherwise later.
+ */
+public final class EngineVersions {
+  /** Time that a load takes on an engine that runs nothing, in milliseconds. */
+  public static final long LOAD_MS = 900;
+
+  /** Time after which an order that the engine's word does not show counts as lost. */
+  public static final long ORDER_LOST_MS = 6_000;
+
+  private record Place(String engine, String model) {}
+
+  private record Order(long version, long at) {}
+
+  private final Map<Place, Long> seen = new HashMap<>();
+  private final Map<Place, Order> orders = new HashMap<>();
+
+  /** Creates the table without any engine. */
+  public EngineVersions() {}
+
+  /** Notes a version that an engine has told, in a heartbeat or an answer. */
+  public synchronized void seen(String engine, String model, long version) {
+    seen.merge(new Place(engine, model), version, Math::max);
+  }
+
+  /** Notes that an engine has accepted an order. */
+  public synchronized void ordered(String engine, String model, long version, long now) {
+    Place place = new Place(engine, model);
+    Order known = orders.get(place);
+    if (known == null || known.version() < version) {
+      orders.put(place, new Order(version, now));
+    }
+  }
+
+  /** Returns the version that an engine has or is about to have. */
+  public synchronized long target(String engine, String model, long now) {
+    Place place = new Place(engine, model);
+    Order order = orders.get(place);
+    long has = seen.getOrDefault(place, 0L);
+    return order == null || lost(order, now) ? has : Math.max(has, order.version());
+  }
+
+  /** Returns the version that a request sent now would probably run under. */
+  public synchronized long version(String engine, String model, long now) {
+    return loading(engine, model, now)
+        ? seen.getOrDefault(new Place(engine, model), 0L)
+        : target(engine, model, now);
+  }
+
+  /** Returns whether an engine is probably loading a model's weights. */
+  public synchronized boolean loading(String engine, String model, long now) {
+    Place place = new Place(engine, model);
+    Order order = orders.get(place);
+    return order != null
+        && order.version() > seen.getOrDefault(place, 0L)
+        && now - order.at() < LOAD_MS;
+  }
+
+  /** Forgets an engine that is gone. */
+  public synchronized void forget(String engine) {
+    seen.keySet().removeIf(p -> p.engine().equals(engine));
+    orders.keySet().removeIf(p -> p.engine().equals(engine));
+  }
+
+  private static boolean lost(Order order, long now) {
+    return now - order.at() > ORDER_LOST_MS;
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/marigoldmill/core/weights/package-info.java
@@ -0,0 +1,2 @@
+/** When which engine takes new weights. */
+package org.marigoldmill.core.weights;
--- a/http/src/main/java/org/marigoldmill/http/HttpClient.java
+++ b/http/src/main/java/org/marigoldmill/http/HttpClient.java
@@ -210,11 +210,13 @@
             .setMethod(new HttpString(call.method()))
             .setPath(call.path())
             .setProtocol(io.undertow.util.Protocols.HTTP_1_1);
-    request
-        .getRequestHeaders()
-        .put(Headers.HOST, call.address().getHostString() + ":" + call.address().getPort());
     call.headers()
         .forEach(h -> request.getRequestHeaders().add(new HttpString(h.name()), h.value()));
+    if (!request.getRequestHeaders().contains(Headers.HOST)) {
+      request
+          .getRequestHeaders()
+          .put(Headers.HOST, call.address().getHostString() + ":" + call.address().getPort());
+    }
     if (call.body().length > 0 || !call.method().equals("GET")) {
       request.getRequestHeaders().put(Headers.CONTENT_LENGTH, call.body().length);
     }
--- a/http/src/main/java/org/marigoldmill/http/HttpServer.java
+++ b/http/src/main/java/org/marigoldmill/http/HttpServer.java
@@ -15,6 +15,8 @@
 import java.util.Deque;
 import java.util.Optional;
 import org.marigoldmill.core.error.MarigoldmillException;
+import org.xnio.Option;
+import org.xnio.OptionMap;
 
 /**
  * HTTP server whose routes answer with whole bodies.
@@ -60,6 +62,8 @@
 
   private final InetSocketAddress address;
   private final RoutingHandler routes = new RoutingHandler();
+  private HttpHandler root = routes;
+  private OptionMap limits = OptionMap.EMPTY;
   private int workers = DEFAULT_WORKERS;
   private Undertow undertow;
 
@@ -96,16 +100,40 @@
     return this;
   }
 
+  /** Sets the handler of all requests in place of routes; it runs on an I/O thread. */
+  public HttpServer handler(HttpHandler handler) {
+    root = handler;
+    return this;
+  }
+
+  /**
+   * Bounds what a caller may send; to be called before the start.
+   *
+   * @param headerBytes largest head of a request
+   * @param headerMs longest time for a head to arrive, in milliseconds
+   * @param idleMs longest time for which a connection may be idle, in milliseconds
+   */
+  public HttpServer limits(int headerBytes, int headerMs, int idleMs) {
+    limits =
+        OptionMap.builder()
+            .set(UndertowOptions.MAX_HEADER_SIZE, headerBytes)
+            .set(UndertowOptions.REQUEST_PARSE_TIMEOUT, headerMs)
+            .set(UndertowOptions.NO_REQUEST_TIMEOUT, idleMs)
+            .getMap();
+    return this;
+  }
+
   /** Starts listening. */
   public HttpServer start() {
-    undertow =
+    Undertow.Builder builder =
         Undertow.builder()
             .addHttpListener(address.getPort(), address.getHostString())
-            .setServerOption(UndertowOptions.ENABLE_HTTP2, false)
             .setIoThreads(2)
             .setWorkerThreads(workers)
-            .setHandler(routes)
-            .build();
+            .setHandler(root);
+    OptionMap all = options();
+    all.forEach(option -> set(builder, option, all));
+    undertow = builder.build();
     undertow.start();
     return this;
   }
@@ -123,6 +151,18 @@
     }
   }
 
+  private OptionMap options() {
+    return OptionMap.builder()
+        .addAll(limits)
+        .set(UndertowOptions.ENABLE_HTTP2, false)
+        .set(UndertowOptions.ALWAYS_SET_KEEP_ALIVE, false)
+        .getMap();
+  }
+
+  private static <T> void set(Undertow.Builder builder, Option<T> option, OptionMap all) {
+    builder.setServerOption(option, all.get(option));
+  }
+
   private static HttpHandler handler(Route route) {
     return exchange -> send(exchange, answer(route, exchange));
   }
--- a/http/src/main/java/org/marigoldmill/http/HttpStream.java
+++ b/http/src/main/java/org/marigoldmill/http/HttpStream.java
@@ -80,6 +80,11 @@
     }
   }
 
+  /** Cuts the answer off from another thread; a read in progress fails. */
+  public void cancel() {
+    IoUtils.safeClose(pooled.connection());
+  }
+
   /** Returns the connection to the pool after a whole body, and closes it otherwise. */
   @Override
   public void close() {
--- /dev/null
+++ b/server/src/main/java/org/marigoldmill/server/DeploymentInstance.java
@@ -0,0 +1,355 @@
+package org.marigoldmill.server;
+
+import com.google.common.flogger.FluentLogger;
+import java.net.BindException;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.SynchronousQueue;
+import java.util.concurrent.ThreadPoolExecutor;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.random.RandomGenerator;
+import org.marigoldmill.core.route.DeploymentConfig;
+import org.marigoldmill.core.routing.UpstreamTable;
+import org.marigoldmill.core.weights.EngineVersions;
+import org.marigoldmill.core.weights.WeightPlan;
+import org.marigoldmill.http.HttpAnswer;
+import org.marigoldmill.http.HttpClient;
+import org.marigoldmill.http.HttpServer;
+import org.marigoldmill.schema.settings.DeploymentSettings;
+import org.marigoldmill.server.batch.ModelShares;
+import org.marigoldmill.server.batch.Partitions;
+import org.marigoldmill.server.batch.RolloutMembership;
+import org.marigoldmill.server.batch.Rollouts;
+import org.marigoldmill.server.deployment.DeploymentState;
+import org.marigoldmill.server.deployment.EngineRegistry;
+import org.marigoldmill.server.deployment.Ports;
+import org.marigoldmill.server.duty.DutyLeaseHolder;
+import org.marigoldmill.server.duty.FleetLog;
+import org.marigoldmill.server.duty.UsageCounter;
+import org.marigoldmill.server.duty.UsageDuty;
+import org.marigoldmill.server.duty.WeightDuty;
+import org.marigoldmill.server.gateway.Forwarder;
+import org.marigoldmill.server.gateway.Gateway;
+import org.marigoldmill.server.gateway.SubmissionService;
+import org.marigoldmill.server.gateway.UpstreamSender;
+import org.marigoldmill.server.store.PartitionFollower;
+import org.marigoldmill.server.store.PartitionReplica;
+
+/**
+ * One running entry instance of a deployment whose platform keeps all that lasts.
+ *
+ * <pre>{@code
+ * DeploymentInstance instance = DeploymentInstance.start(settings, ports, "/ready");
+ * instance.awaitStopped();
+ * }</pre>
+ */
+public final class DeploymentInstance implements AutoCloseable {
+  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+  private static final long OPERATOR_POLL_MS = 1_000;
+  private static final long ENGINE_POLL_MS = 1_500;
+  private static final long ENGINE_PAUSE_MS = 200;
+  private static final long TICK_MS = 50;
+  private static final long DRAIN_POLL_MS = 20;
+  private static final long BALANCER_NOTICE_MS = 2_300;
+  private static final long TASK_PATIENCE_MS = 2_500;
+  private static final long STOP_RESERVE_MS = 1_200;
+  private static final int IDLE_THREAD_SECONDS = 5;
+  private static final int MOST_TASKS = 256;
+  private static final int SMALL_POOL = 2;
+
+  /** Callers reuse connections that have been idle for most of the limit, so it is kept amply. */
+  private static final int IDLE_MARGIN = 2;
+
+  private final DeploymentSettings settings;
+  private final Ports ports;
+  private final Clock clock = Clock.monotonic();
+  private final Deque<AutoCloseable> parts = new ArrayDeque<>();
+  private final CountDownLatch stopped = new CountDownLatch(1);
+  private final AtomicBoolean draining = new AtomicBoolean();
+  private final Metrics metrics = new Metrics();
+  private final EngineVersions versions = new EngineVersions();
+  private final UpstreamTable upstreams = UpstreamTable.with(RandomGenerator.getDefault());
+  private final DeploymentState deployment;
+  private final EngineRegistry registry;
+  private final PartitionFollower operatorFollower;
+  private final PartitionFollower engineFollower;
+  private final Partitions partitions;
+  private final RolloutMembership membership;
+  private final DutyLeaseHolder lease;
+  private final Rollouts rollouts;
+  private final Gateway gateway;
+  private Optional<HttpServer> callerServer = Optional.empty();
+
+  private DeploymentInstance(DeploymentSettings settings, Ports ports, String readyPath) {
+    this.settings = settings;
+    this.ports = ports;
+    this.deployment = new DeploymentState(ports.codec());
+    this.registry = new EngineRegistry(ports.codec(), upstreams, versions);
+    this.operatorFollower =
+        new PartitionFollower(
+            ports.store(), ports.operatorTopic(), 0, OPERATOR_POLL_MS, 0, deployment, clock);
+    this.engineFollower =
+        new PartitionFollower(
+            ports.store(),
+            ports.engineTopic(),
+            0,
+            ENGINE_POLL_MS,
+            ENGINE_PAUSE_MS,
+            registry,
+            clock);
+    String process = settings.getInstance() + "#" + System.currentTimeMillis();
+    this.partitions =
+        new Partitions(
+            ports.store(),
+            settings.getPartitions(),
+            (int) settings.getCallBytes(),
+            pool("append", settings.getPartitions()),
+            clock);
+    this.membership =
+        new RolloutMembership(ports.store(), process, settings.getGroupTtlMs(), partitions);
+    this.lease =
+        new DutyLeaseHolder(
+            ports.store(),
+            process,
+            settings.getLeaseTtlMs(),
+            settings.getTurnGuardMs(),
+            Clock.suspendAware());
+    FleetLog fleet =
+        new FleetLog(ports.store(), settings.getInstance(), registry, versions, clock);
+    HttpClient client = opened(HttpClient.create("upstreams", 1));
+    UpstreamSender sender = new UpstreamSender(client, ports.upstreams(), upstreams, clock);
+    Forwarder forwarder = new Forwarder(registry, upstreams, sender, settings.getZone(), clock);
+    ModelShares shares = new ModelShares(deployment, registry, partitions);
+    this.rollouts =
+        new Rollouts(
+            deployment,
+            partitions,
+            membership,
+            shares,
+            versions,
+            sender,
+            forwarder,
+            pool("items", MOST_TASKS),
+            metrics,
+            settings.getZone(),
+            clock);
+    UsageCounter usage =
+        new UsageCounter(settings.getUsageWindowMs(), System::currentTimeMillis);
+    SubmissionService submissions =
+        new SubmissionService(partitions, ports.callers(), chunkBytes(), clock);
+    this.gateway =
+        new Gateway(
+            ports.callers(), deployment, forwarder, submissions, usage, metrics, clock);
+    serve(readyPath);
+    follow(fleet);
+    startDuties(fleet, usage, shares, client);
+  }
+
+  /**
+   * Starts an instance.
+   *
+   * @param readyPath path at which the balancer asks for readiness
+   */
+  public static DeploymentInstance start(
+      DeploymentSettings settings, Ports ports, String readyPath) {
+    DeploymentInstance instance = new DeploymentInstance(settings, ports, readyPath);
+    logger.atInfo().log(
+        "started instance=%s zone=%s store=%s",
+        settings.getInstance(), settings.getZone(), settings.getStore());
+    return instance;
+  }
+
+  /** Returns whether callers may be sent here. */
+  public boolean ready() {
+    return !draining.get()
+        && deployment.config().isPresent()
+        && engineFollower.ready()
+        && partitions.ready();
+  }
+
+  /** Stops gracefully; returns once everything has ended. */
+  public void drain() {
+    if (!draining.compareAndSet(false, true)) {
+      return;
+    }
+    final long until = clock.now() + settings.getGraceMs() - STOP_RESERVE_MS;
+    final long noticed = clock.now() + BALANCER_NOTICE_MS;
+    logger.atInfo().log(
+        "stopping open=%d items=%d", gateway.open(), rollouts.running());
+    gateway.drain();
+    rollouts.stopStarting();
+    lease.release();
+    long tasksUntil = clock.now() + TASK_PATIENCE_MS;
+    while (rollouts.running() > 0 && clock.now() < tasksUntil) {
+      pause();
+    }
+    membership.leave();
+    while (clock.now() < noticed || (gateway.open() > 0 && clock.now() < until)) {
+      pause();
+    }
+    rollouts.cancelAll();
+    logger.atInfo().log("stopped open=%d", gateway.open());
+    close();
+  }
+
+  /** Waits until the instance has stopped. */
+  public void awaitStopped() throws InterruptedException {
+    stopped.await();
+  }
+
+  @Override
+  public void close() {
+    for (Optional<AutoCloseable> part = next(); part.isPresent(); part = next()) {
+      try {
+        part.get().close();
+      } catch (Exception e) {
+        logger.atWarning().withCause(e).log("close");
+      }
+    }
+    stopped.countDown();
+  }
+
+  private Optional<AutoCloseable> next() {
+    synchronized (parts) {
+      return Optional.ofNullable(parts.poll());
+    }
+  }
+
+  private int chunkBytes() {
+    return (int) Math.min(settings.getRecordBytes(), settings.getCallBytes()) * 3 / 4;
+  }
+
+  private void serve(String readyPath) {
+    deployment.onConfig(this::serveCallers);
+    opened(
+        HttpServer.on(settings.getReadyAddress())
+            .workers(SMALL_POOL)
+            .get(readyPath, q -> HttpAnswer.text(ready() ? 200 : 503, ready() ? "ready" : "no"))
+            .start());
+    try {
+      opened(
+          HttpServer.on(settings.getMetricsAddress())
+              .workers(SMALL_POOL)
+              .get("/metrics", q -> new HttpAnswer(200, List.of(), metrics.text()))
+              .start());
+    } catch (RuntimeException e) {
+      if (!(e.getCause() instanceof BindException)) {
+        throw e;
+      }
+      logger.atWarning().log(
+          "metrics not served address=%s cause=%s",
+          settings.getMetricsAddress(), e.getMessage());
+    }
+    metrics.gauge(
+        "config_version",
+        "Version of the configuration in force",
+        () -> deployment.config().map(c -> (double) c.version()).orElse(0.0));
+    metrics.gauge("open_requests", "Requests in progress", gateway::open);
+    metrics.gauge("running_items", "Items that are being generated", rollouts::running);
+    metrics.gauge("config_age_seconds", "Age of the configuration", this::configAge);
+  }
+
+  /** Callers are served from the first configuration on, whose limits hold until the next start. */
+  private synchronized void serveCallers(DeploymentConfig config) {
+    DeploymentConfig.Limits limits = config.limits();
+    if (callerServer.isPresent()) {
+      return;
+    }
+    HttpServer server =
+        HttpServer.on(settings.getCallerAddress())
+            .workers(settings.getWorkerThreads())
+            .handler(gateway)
+            .limits(limits.headerBytes(), limits.headerMs(), IDLE_MARGIN * limits.idleMs());
+    callerServer = Optional.of(opened(server.start()));
+  }
+
+  private double configAge() {
+    return operatorFollower.ageMs() / 1e3;
+  }
+
+  private void follow(FleetLog fleet) {
+    duty(0, "operator", operatorFollower::runRound);
+    duty(0, "engines", engineFollower::runRound);
+    duty(0, "fleet", fleet.follower()::runRound);
+    duty(0, "lease-log", lease.follower()::runRound);
+    for (PartitionReplica replica : partitions.all()) {
+      duty(0, "partition", replica.follower()::runRound);
+    }
+  }
+
+  private void startDuties(
+      FleetLog fleet, UsageCounter usage, ModelShares shares, HttpClient client) {
+    duty(settings.getGroupTtlMs() / 3, "membership", membership::runRound);
+    duty(TICK_MS, "lease", lease::runRound);
+    duty(0, "rollouts", rollouts::runRound);
+    WeightDuty weights =
+        new WeightDuty(
+            lease,
+            deployment,
+            registry,
+            versions,
+            shares,
+            partitions,
+            fleet,
+            ports.upstreams(),
+            client,
+            new WeightPlan(settings.getParallelLoads()),
+            settings.getInstance(),
+            clock);
+    duty(TICK_MS, "weights", weights::runRound);
+    if (settings.getUsageWindowMs() > 0 && ports.duties().isPresent()) {
+      UsageDuty reports =
+          new UsageDuty(
+              usage,
+              fleet,
+              lease,
+              ports.duties().get(),
+              settings.getInstance(),
+              settings.getUsageWindowMs(),
+              settings.getUsageLateMs(),
+              System::currentTimeMillis);
+      duty(TICK_MS * 2, "usage", reports::runRound);
+    }
+  }
+
+  private void duty(long pauseMs, String name, Duty.Round round) {
+    opened(Duty.every(pauseMs, name, round));
+  }
+
+  private ExecutorService pool(String name, int most) {
+    ThreadPoolExecutor pool =
+        new ThreadPoolExecutor(
+            0,
+            most,
+            IDLE_THREAD_SECONDS,
+            TimeUnit.SECONDS,
+            new SynchronousQueue<>(),
+            task -> {
+              Thread thread = new Thread(task, name);
+              thread.setDaemon(true);
+              return thread;
+            });
+    opened(pool::shutdownNow);
+    return pool;
+  }
+
+  private <T extends AutoCloseable> T opened(T part) {
+    synchronized (parts) {
+      parts.push(part);
+    }
+    return part;
+  }
+
+  private static void pause() {
+    try {
+      Thread.sleep(DRAIN_POLL_MS);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+}
--- /dev/null
+++ b/server/src/main/java/org/marigoldmill/server/batch/ItemTask.java
@@ -0,0 +1,86 @@
+package org.marigoldmill.server.batch;
+
+import java.util.Optional;
+import org.marigoldmill.core.submission.GeneratedText;
+import org.marigoldmill.http.HttpStream;
+import org.marigoldmill.schema.submission.RolloutItem;
+import org.marigoldmill.schema.submission.Submission;
+
+/** One item that this instance runs, over all of its attempts. */
+final class ItemTask {
+  private final Submission submission;
+  private final RolloutItem item;
+  private final int index;
+  private final GeneratedText text = new GeneratedText();
+  private volatile boolean running;
+  private volatile boolean cancelled;
+  private volatile long notBefore = Long.MIN_VALUE;
+  private HttpStream stream;
+  private int failures;
+
+  ItemTask(Submission submission, RolloutItem item, int index) {
+    this.submission = submission;
+    this.item = item;
+    this.index = index;
+  }
+
+  Submission submission() {
+    return submission;
+  }
+
+  RolloutItem item() {
+    return item;
+  }
+
+  /** Returns the place of the item in its submission. */
+  int index() {
+    return index;
+  }
+
+  GeneratedText text() {
+    return text;
+  }
+
+  boolean ready(long now) {
+    return !running && !cancelled && notBefore <= now;
+  }
+
+  boolean running() {
+    return running;
+  }
+
+  void started() {
+    running = true;
+  }
+
+  /** Ends an attempt; the next may start at a time. */
+  void paused(long until) {
+    notBefore = until;
+    running = false;
+  }
+
+  boolean cancelled() {
+    return cancelled;
+  }
+
+  /** Counts a failed run; returns whether the item is to be given up. */
+  boolean failed() {
+    failures++;
+    return failures >= submission.getMaxAttempts();
+  }
+
+  /** Registers the stream of the attempt in progress, so that a cancellation cuts it. */
+  synchronized void streaming(Optional<HttpStream> open) {
+    stream = open.orElse(null);
+    if (cancelled && stream != null) {
+      stream.cancel();
+    }
+  }
+
+  synchronized void cancel() {
+    cancelled = true;
+    if (stream != null) {
+      stream.cancel();
+    }
+  }
+}
--- /dev/null
+++ b/server/src/main/java/org/marigoldmill/server/batch/Partitions.java
@@ -0,0 +1,101 @@
+package org.marigoldmill.server.batch;
+
+import java.util.List;
+import java.util.concurrent.Executor;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.IntFunction;
+import java.util.stream.IntStream;
+import java.util.stream.Stream;
+import org.marigoldmill.core.submission.PartitionState;
+import org.marigoldmill.schema.submission.Submission;
+import org.marigoldmill.server.Clock;
+import org.marigoldmill.server.store.LogStore;
+import org.marigoldmill.server.store.PartitionReplica;
+import org.marigoldmill.server.store.Topic;
+
+/** Replicas of all partitions of submissions. */
+public final class Partitions {
+  /** Where submissions and their results are stored. */
+  public static final Topic TOPIC = new Topic("submissions", true);
+
+  private static final long POLL_MS = 2_000;
+
+  private final List<PartitionReplica> replicas;
+  private final AtomicLong changes = new AtomicLong();
+
+  /**
+   * Creates the replicas.
+   *
+   * @param count number of partitions
+   * @param callBytes largest append
+   * @param executor runs appends
+   */
+  public Partitions(LogStore store, int count, int callBytes, Executor executor, Clock clock) {
+    IntFunction<PartitionReplica> replica =
+        p ->
+            new PartitionReplica(
+                store, TOPIC, p, callBytes, POLL_MS, executor, clock, this::changed);
+    this.replicas = IntStream.range(0, count).mapToObj(replica).toList();
+  }
+
+  /** Returns all replicas. */
+  public List<PartitionReplica> all() {
+    return replicas;
+  }
+
+  /** Returns the replica that holds a submission. */
+  public PartitionReplica of(String submission) {
+    return replicas.get(index(submission));
+  }
+
+  /** Returns the partition that a name belongs to. */
+  public int index(String name) {
+    return Math.floorMod(name.hashCode(), replicas.size());
+  }
+
+  /** Returns whether every partition has been read to its end once. */
+  public boolean ready() {
+    return replicas.stream().allMatch(r -> r.follower().ready());
+  }
+
+  /** Returns the submissions that lack results. */
+  public List<Submission> open() {
+    return states().flatMap(s -> s.open().stream()).toList();
+  }
+
+  /** Returns all submissions that are stored. */
+  public List<Submission> heads() {
+    return states().flatMap(s -> s.heads().stream()).toList();
+  }
+
+  /** Returns a number that grows with each change. */
+  public long changes() {
+    return changes.get();
+  }
+
+  /** Waits until something has changed, or until a time has passed, in milliseconds. */
+  public void awaitChange(long ms) {
+    long seen = changes.get();
+    synchronized (changes) {
+      try {
+        if (changes.get() == seen && ms > 0) {
+          changes.wait(ms);
+        }
+      } catch (InterruptedException e) {
+        Thread.currentThread().interrupt();
+      }
+    }
+  }
+
+  /** Wakes those who wait for a change. */
+  public void changed() {
+    synchronized (changes) {
+      changes.incrementAndGet();
+      changes.notifyAll();
+    }
+  }
+
+  private Stream<PartitionState> states() {
+    return replicas.stream().map(PartitionReplica::state);
+  }
+}
--- /dev/null
+++ b/server/src/main/java/org/marigoldmill/server/batch/Rollouts.java
@@ -0,0 +1,57 @@
+package org.marigoldmill.server.batch;
+
+import java.util.concurrent.Executor;
+import org.marigoldmill.core.placement.EngineLoads;
+import org.marigoldmill.core.weights.EngineVersions;
+import org.marigoldmill.server.Clock;
+import org.marigoldmill.server.Metrics;
+import org.marigoldmill.server.deployment.DeploymentState;
+import org.marigoldmill.server.gateway.Forwarder;
+import org.marigoldmill.server.gateway.UpstreamSender;
+
+/** Generation of the items that this instance is in charge of. */
+public final class Rollouts {
+  private final RolloutScheduler scheduler;
+
+  /** Creates the generation over its parts; attempts run on an executor. */
+  public Rollouts(
+      DeploymentState deployment,
+      Partitions partitions,
+      RolloutMembership membership,
+      ModelShares shares,
+      EngineVersions versions,
+      UpstreamSender sender,
+      Forwarder forwarder,
+      Executor executor,
+      Metrics metrics,
+      String zone,
+      Clock clock) {
+    EngineLoads loads = new EngineLoads();
+    ItemRunner runner =
+        new ItemRunner(
+            deployment, loads, versions, sender, forwarder, partitions, metrics, clock);
+    this.scheduler =
+        new RolloutScheduler(
+            partitions, membership, shares, loads, versions, runner, executor, zone, clock);
+  }
+
+  /** Starts what can start; one round of a duty. */
+  public void runRound() {
+    scheduler.runRound();
+  }
+
+  /** Starts no more attempts. */
+  public void stopStarting() {
+    scheduler.stopStarting();
+  }
+
+  /** Cuts all attempts. */
+  public void cancelAll() {
+    scheduler.cancelAll();
+  }
+
+  /** Returns the attempts in progress. */
+  public int running() {
+    return scheduler.running();
+  }
+}
--- /dev/null
+++ b/server/src/main/java/org/marigoldmill/server/batch/package-info.java
@@ -0,0 +1,2 @@
+/** Running the items of submissions on engines, and keeping their results. */
+package org.marigoldmill.server.batch;
--- /dev/null
+++ b/server/src/main/java/org/marigoldmill/server/duty/FleetLog.java
@@ -0,0 +1,151 @@
+package org.marigoldmill.server.duty;
+
+import com.google.protobuf.InvalidProtocolBufferException;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.TreeMap;
+import org.marigoldmill.core.submission.KeyedRecord;
+import org.marigoldmill.core.weights.EngineVersions;
+import org.marigoldmill.schema.fleet.FleetRecord;
+import org.marigoldmill.schema.fleet.OrderedWeights;
+import org.marigoldmill.schema.fleet.UsageSeal;
+import org.marigoldmill.schema.fleet.UsageTally;
+import org.marigoldmill.schema.log.Usage;
+import org.marigoldmill.server.Clock;
+import org.marigoldmill.server.deployment.EngineRegistry;
+import org.marigoldmill.server.store.LogStore;
+import org.marigoldmill.server.store.PartitionFollower;
+import org.marigoldmill.server.store.StoredRecord;
+import org.marigoldmill.server.store.Topic;
+
+/** What the instances tell each other: usage that they counted, and orders that engines took. */
+public final class FleetLog implements PartitionFollower.Sink {
+  /** Where the instances tell each other. */
+  public static final Topic TOPIC = new Topic("fleet", false);
+
+  private static final int WINDOWS_KEPT = 64;
+  private static final long POLL_MS = 2_000;
+
+  private final LogStore store;
+  private final String instance;
+  private final EngineRegistry registry;
+  private final EngineVersions versions;
+  private final Clock clock;
+  private final PartitionFollower follower;
+  private final TreeMap<Long, Map<String, Long>> tallies = new TreeMap<>();
+  private final TreeMap<Long, Map<String, Long>> seals = new TreeMap<>();
+
+  /** Creates the log of one instance. */
+  public FleetLog(
+      LogStore store,
+      String instance,
+      EngineRegistry registry,
+      EngineVersions versions,
+      Clock clock) {
+    this.store = store;
+    this.instance = instance;
+    this.registry = registry;
+    this.versions = versions;
+    this.clock = clock;
+    this.follower = new PartitionFollower(store, TOPIC, 0, POLL_MS, 0, this, clock);
+  }
+
+  /** Returns what keeps this up to date. */
+  public PartitionFollower follower() {
+    return follower;
+  }
+
+  /** Tells the usage that this instance counted in a window. */
+  public LogStore.Outcome tally(long window, Map<String, Long> counts) {
+    UsageTally tally =
+        UsageTally.newBuilder().setWindow(window).addAllUsage(usage(counts)).build();
+    return append(FleetRecord.newBuilder().setTally(tally));
+  }
+
+  /** Proposes the figures of a window. */
+  public LogStore.Outcome seal(long window, Map<String, Long> counts) {
+    UsageSeal seal = UsageSeal.newBuilder().setWindow(window).addAllUsage(usage(counts)).build();
+    return append(FleetRecord.newBuilder().setSeal(seal));
+  }
+
+  /** Tells that an engine has accepted an order. */
+  public LogStore.Outcome ordered(OrderedWeights order) {
+    return append(FleetRecord.newBuilder().setOrder(order));
+  }
+
+  /** Returns the requests of each organisation that instances told for a window. */
+  public synchronized Map<String, Long> told(long window) {
+    return Map.copyOf(tallies.getOrDefault(window, Map.of()));
+  }
+
+  /** Returns the figures of each window that is sealed. */
+  public synchronized Map<Long, Map<String, Long>> sealed() {
+    return new TreeMap<>(seals);
+  }
+
+  @Override
+  public void reset() {}
+
+  @Override
+  public synchronized void apply(StoredRecord stored) {
+    FleetRecord told;
+    try {
+      told = FleetRecord.parseFrom(stored.value().orElseThrow());
+    } catch (InvalidProtocolBufferException e) {
+      throw new IllegalArgumentException("fleet record: " + e.getMessage(), e);
+    }
+    switch (told.getBodyCase()) {
+      case TALLY -> add(told.getTally());
+      case SEAL -> seals.putIfAbsent(told.getSeal().getWindow(), counts(told.getSeal()));
+      case ORDER -> note(told.getOrder());
+      default -> {
+        // The body is of a newer version.
+      }
+    }
+    trim(tallies);
+    trim(seals);
+  }
+
+  private void add(UsageTally tally) {
+    Map<String, Long> counts =
+        tallies.computeIfAbsent(tally.getWindow(), w -> new HashMap<>());
+    tally.getUsageList().forEach(u -> counts.merge(u.getOrganisation(), u.getRequests(), Long::sum));
+  }
+
+  private void note(OrderedWeights order) {
+    registry
+        .engine(order.getEngine())
+        .filter(e -> e.incarnation() == order.getIncarnation())
+        .ifPresent(
+            e -> versions.ordered(e.id(), order.getModel(), order.getVersion(), clock.now()));
+  }
+
+  private LogStore.Outcome append(FleetRecord.Builder told) {
+    byte[] value = told.setInstance(instance).build().toByteArray();
+    return store
+        .append(
+            TOPIC, 0, OptionalLong.empty(), List.of(new KeyedRecord("", Optional.of(value))))
+        .outcome();
+  }
+
+  private static Map<String, Long> counts(UsageSeal seal) {
+    Map<String, Long> counts = new HashMap<>();
+    seal.getUsageList().forEach(u -> counts.merge(u.getOrganisation(), u.getRequests(), Long::sum));
+    return counts;
+  }
+
+  private static List<Usage> usage(Map<String, Long> counts) {
+    return counts.entrySet().stream()
+        .map(e -> Usage.newBuilder().setOrganisation(e.getKey()).setRequests(e.getValue()).build())
+        .toList();
+  }
+
+  private static void trim(TreeMap<Long, ?> windows) {
+    while (windows.size() > WINDOWS_KEPT) {
+      windows.pollFirstEntry();
+    }
+  }
+}
--- /dev/null
+++ b/server/src/main/java/org/marigoldmill/server/duty/WeightDuty.java
@@ -0,0 +1,164 @@
+package org.marigoldmill.server.duty;
+
+import com.google.common.flogger.FluentLogger;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.marigoldmill.core.placement.Engine;
+import org.marigoldmill.core.weights.EngineVersions;
+import org.marigoldmill.core.weights.WeightPlan;
+import org.marigoldmill.http.CallFailure;
+import org.marigoldmill.http.HttpAnswer;
+import org.marigoldmill.http.HttpCall;
+import org.marigoldmill.http.HttpClient;
+import org.marigoldmill.schema.fleet.OrderedWeights;
+import org.marigoldmill.schema.submission.Submission;
+import org.marigoldmill.server.Clock;
+import org.marigoldmill.server.batch.ModelShares;
+import org.marigoldmill.server.batch.Partitions;
+import org.marigoldmill.server.deployment.DeploymentState;
+import org.marigoldmill.server.deployment.EngineRegistry;
+import org.marigoldmill.server.deployment.UpstreamProtocol;
+
+/** Orders new weights at engines while this instance is in charge. */
+public final class WeightDuty {
+  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+  private static final long SEND_LIMIT_MS = 400;
+  private static final long CONNECT_MS = 150;
+  private static final long RETRY_MS = 300;
+
+  private final DutyLeaseHolder lease;
+  private final DeploymentState deployment;
+  private final EngineRegistry registry;
+  private final EngineVersions versions;
+  private final ModelShares shares;
+  private final Partitions partitions;
+  private final FleetLog fleet;
+  private final UpstreamProtocol protocol;
+  private final HttpClient client;
+  private final WeightPlan plan;
+  private final String instance;
+  private final Clock clock;
+  private final Map<String, Long> acceptedOrders = new HashMap<>();
+  private final Map<String, Long> pausedUntil = new HashMap<>();
+
+  /** Creates the duty over its parts. */
+  public WeightDuty(
+      DutyLeaseHolder lease,
+      DeploymentState deployment,
+      EngineRegistry registry,
+      EngineVersions versions,
+      ModelShares shares,
+      Partitions partitions,
+      FleetLog fleet,
+      UpstreamProtocol protocol,
+      HttpClient client,
+      WeightPlan plan,
+      String instance,
+      Clock clock) {
+    this.lease = lease;
+    this.deployment = deployment;
+    this.registry = registry;
+    this.versions = versions;
+    this.shares = shares;
+    this.partitions = partitions;
+    this.fleet = fleet;
+    this.protocol = protocol;
+    this.client = client;
+    this.plan = plan;
+    this.instance = instance;
+    this.clock = clock;
+  }
+
+  /** Gives the orders that are due; one round of a duty. */
+  public void runRound() {
+    if (!lease.holds(SEND_LIMIT_MS) || !partitions.ready()) {
+      return;
+    }
+    long now = clock.now();
+    Map<String, List<Engine>> engines = shares.current();
+    List<WeightPlan.Place> places =
+        engines.entrySet().stream()
+            .flatMap(e -> e.getValue().stream().map(engine -> place(engine, e.getKey(), now)))
+            .toList();
+    List<Submission> open = partitions.open();
+    List<WeightPlan.Demand> demands =
+        engines.keySet().stream().map(model -> demand(model, open)).toList();
+    plan.due(places, demands).stream()
+        .filter(o -> pausedUntil.getOrDefault(o.engine(), Long.MIN_VALUE) <= now)
+        .forEach(this::order);
+  }
+
+  private WeightPlan.Place place(Engine engine, String model, long now) {
+    return new WeightPlan.Place(
+        engine.id(),
+        model,
+        versions.target(engine.id(), model, now),
+        versions.loading(engine.id(), model, now));
+  }
+
+  private WeightPlan.Demand demand(String model, List<Submission> open) {
+    List<Submission> mine = open.stream().filter(s -> s.getModel().equals(model)).toList();
+    int items =
+        mine.stream()
+            .mapToInt(s -> partitions.of(s.getId()).state().openItems(s.getId()).size())
+            .sum();
+    return new WeightPlan.Demand(
+        model,
+        deployment.namedVersion(model),
+        mine.stream().mapToLong(Submission::getMinVersion).min().orElse(0),
+        mine.stream().mapToLong(Submission::getMinVersion).max().orElse(0),
+        items);
+  }
+
+  private void order(WeightPlan.Order order) {
+    Engine engine = registry.engine(order.engine()).orElse(null);
+    if (engine == null || !lease.holds(SEND_LIMIT_MS)) {
+      return;
+    }
+    long expected =
+        Math.max(engine.ordersAccepted(), acceptedOrders.getOrDefault(engine.id(), 0L));
+    long epoch = lease.enter(SEND_LIMIT_MS);
+    HttpCall call =
+        protocol
+            .order(engine.address(), engine.id(), order, instance, epoch, expected)
+            .timeouts(CONNECT_MS, SEND_LIMIT_MS, SEND_LIMIT_MS)
+            .gatedBy(() -> lease.enter(CONNECT_MS));
+    try {
+      HttpAnswer answer = client.exchange(call);
+      settle(engine, order, expected, epoch, protocol.orderAnswer(answer), answer.status());
+    } catch (CallFailure e) {
+      pausedUntil.put(engine.id(), clock.now() + RETRY_MS);
+      logger.atWarning().log(
+          "weights order unanswered engine=%s model=%s version=%d epoch=%d expected=%d cause=%s",
+          engine.id(), order.model(), order.version(), epoch, expected, e.getMessage());
+    }
+  }
+
+  private void settle(
+      Engine engine,
+      WeightPlan.Order order,
+      long expected,
+      long epoch,
+      UpstreamProtocol.OrderAnswer answer,
+      int status) {
+    logger.atInfo().log(
+        "weights ordered engine=%s model=%s version=%d epoch=%d expected=%d answer=%s status=%d",
+        engine.id(), order.model(), order.version(), epoch, expected, answer, status);
+    switch (answer) {
+      case ACCEPTED -> {
+        acceptedOrders.put(engine.id(), expected + 1);
+        versions.ordered(engine.id(), order.model(), order.version(), clock.now());
+        fleet.ordered(
+            OrderedWeights.newBuilder()
+                .setEngine(engine.id())
+                .setIncarnation(engine.incarnation())
+                .setModel(order.model())
+                .setVersion(order.version())
+                .build());
+      }
+      case HOLDS -> versions.seen(engine.id(), order.model(), order.version());
+      default -> pausedUntil.put(engine.id(), clock.now() + RETRY_MS);
+    }
+  }
+}
--- /dev/null
+++ b/server/src/main/java/org/marigoldmill/server/gateway/package-info.java
@@ -0,0 +1,2 @@
+/** Callers' requests on a deployment: routing, attempts, submissions and refusals. */
+package org.marigoldmill.server.gateway;
--- /dev/null
+++ b/server/src/main/java/org/marigoldmill/server/store/StoreUnavailable.java
@@ -0,0 +1,15 @@
+package org.marigoldmill.server.store;
+
+/** The store gave no usable answer. */
+public final class StoreUnavailable extends RuntimeException {
+
+  /** Creates a failure with what was asked and what came back. */
+  public StoreUnavailable(String detail, Throwable cause) {
+    super(detail, cause);
+  }
+
+  /** Creates a failure with what was asked and what came back. */
+  public StoreUnavailable(String detail) {
+    super(detail);
+  }
+}
--- /dev/null
+++ b/server/src/main/java/org/marigoldmill/server/store/package-info.java
@@ -0,0 +1,2 @@
+/** Port to the platform's store, and replicas that follow its partitions. */
+package org.marigoldmill.server.store;
