One choice of an upstream, one pause, servers of an instance in a class of their own

Cause: `Forwarder` kept the place of an upstream that the registry had lost in between, so that the upstream looked busier from here for the rest of the process; `StreamCarrier` gave it back. Both now ask `UpstreamPicker`. The interruptible pause stood in eight classes and is `Pause`.

Not seen failing: the leak has no test of its own yet. DeploymentIT (9 cases) green.

--- a/server/src/main/java/org/marigoldmill/server/DeploymentInstance.java
+++ b/server/src/main/java/org/marigoldmill/server/DeploymentInstance.java
@@ -1,7 +1,6 @@
 package org.marigoldmill.server;
 
 import com.google.common.flogger.FluentLogger;
-import java.net.BindException;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.List;
@@ -14,13 +13,10 @@
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.random.RandomGenerator;
 import org.marigoldmill.core.quarantine.SuspectTable;
-import org.marigoldmill.core.route.DeploymentConfig;
 import org.marigoldmill.core.routing.UpstreamTable;
 import org.marigoldmill.core.weights.EngineVersions;
 import org.marigoldmill.core.weights.LoadQueue;
-import org.marigoldmill.http.HttpAnswer;
 import org.marigoldmill.http.HttpClient;
-import org.marigoldmill.http.HttpServer;
 import org.marigoldmill.schema.settings.DeploymentSettings;
 import org.marigoldmill.server.batch.ModelShares;
 import org.marigoldmill.server.batch.Partitions;
@@ -39,6 +35,7 @@
 import org.marigoldmill.server.gateway.Gateway;
 import org.marigoldmill.server.gateway.StreamCarrier;
 import org.marigoldmill.server.gateway.SubmissionService;
+import org.marigoldmill.server.gateway.UpstreamPicker;
 import org.marigoldmill.server.gateway.UpstreamSender;
 import org.marigoldmill.server.store.PartitionFollower;
 import org.marigoldmill.server.store.PartitionReplica;
@@ -73,9 +70,6 @@
   private static final int MOST_TASKS = 256;
   private static final int SMALL_POOL = 2;
 
-  /** Callers reuse connections that have been idle for most of the limit, so it is kept amply. */
-  private static final int IDLE_MARGIN = 2;
-
   private final DeploymentSettings settings;
   private final Ports ports;
   private final Clock clock = Clock.monotonic();
@@ -96,7 +90,7 @@
   private final FleetLog fleet;
   private final Rollouts rollouts;
   private final Gateway gateway;
-  private volatile Optional<HttpServer> callerServer = Optional.empty();
+  private final DeploymentServers servers;
 
   private DeploymentInstance(DeploymentSettings settings, Ports ports, String readyPath) {
     this.settings = settings;
@@ -148,8 +142,8 @@
     UpstreamSender sender = new UpstreamSender(client, ports.upstreams(), upstreams, clock);
     CrashWatch crashes =
         new CrashWatch(suspects, client, fleet, pool("crashes", SMALL_POOL), clock);
-    Forwarder forwarder =
-        new Forwarder(registry, upstreams, sender, crashes, settings.getZone(), clock);
+    UpstreamPicker picker = new UpstreamPicker(registry, upstreams, settings.getZone(), clock);
+    Forwarder forwarder = new Forwarder(picker, upstreams, sender, crashes, clock);
     ModelShares shares = new ModelShares(deployment, registry, partitions);
     this.rollouts =
         new Rollouts(
@@ -173,13 +167,15 @@
             ports.callers(),
             deployment,
             forwarder,
-            new StreamCarrier(
-                registry, upstreams, sender, ports.callers(), settings.getZone(), clock),
+            new StreamCarrier(picker, upstreams, sender, ports.callers(), clock),
             submissions,
             usage,
             metrics,
             clock);
-    serve(readyPath);
+    showGauges();
+    this.servers = opened(new DeploymentServers(settings, gateway, metrics));
+    servers.open(readyPath, this::ready);
+    deployment.onConfig(servers::serveCallers);
     follow();
     startDuties(usage, loads, client);
   }
@@ -215,9 +211,10 @@
   }
 
   private boolean usable() {
+    deployment.config().ifPresent(servers::serveCallers);
     return !draining.get()
         && deployment.config().isPresent()
-        && callerServer.isPresent()
+        && servers.servesCallers()
         && operatorFollower.unreachableMs() < STORE_PATIENCE_MS
         && engineFollower.ready()
         && partitions.ready();
@@ -240,7 +237,7 @@
     lease.release();
     while (clock.now() < noticed
         || (gateway.open() + rollouts.running() > 0 && clock.now() < until)) {
-      pause();
+      Pause.millis(DRAIN_POLL_MS);
     }
     rollouts.cancelAll();
     logger.atInfo().log("stopped open=%d", gateway.open());
@@ -274,51 +271,15 @@
     return (int) Math.min(settings.getRecordBytes(), settings.getCallBytes()) * 3 / 4;
   }
 
-  private void serve(String readyPath) {
-    deployment.onConfig(this::serveCallers);
-    opened(
-        HttpServer.on(settings.getReadyAddress())
-            .workers(SMALL_POOL)
-            .get(readyPath, q -> HttpAnswer.text(ready() ? 200 : 503, ready() ? "ready" : "no"))
-            .start());
-    try {
-      opened(
-          HttpServer.on(settings.getMetricsAddress())
-              .workers(SMALL_POOL)
-              .get("/metrics", q -> new HttpAnswer(200, List.of(), metrics.text()))
-              .start());
-    } catch (RuntimeException e) {
-      if (!(e.getCause() instanceof BindException)) {
-        throw e;
-      }
-      logger.atWarning().log(
-          "metrics not served address=%s cause=%s", settings.getMetricsAddress(), e.getMessage());
-    }
+  private void showGauges() {
     metrics.gauge(
         "config_version",
         "Version of the configuration in force",
         () -> deployment.config().map(c -> (double) c.version()).orElse(0.0));
     metrics.gauge("open_requests", "Requests in progress", gateway::open);
     metrics.gauge("running_items", "Items that are being generated", rollouts::running);
-    metrics.gauge("config_age_seconds", "Age of the configuration", this::configAge);
-  }
-
-  /** Callers are served from the first configuration on, whose limits hold until the next start. */
-  private synchronized void serveCallers(DeploymentConfig config) {
-    DeploymentConfig.Limits limits = config.limits();
-    if (callerServer.isPresent()) {
-      return;
-    }
-    HttpServer server =
-        HttpServer.on(settings.getCallerAddress())
-            .workers(settings.getWorkerThreads())
-            .handler(gateway)
-            .limits(limits.headerBytes(), limits.headerMs(), IDLE_MARGIN * limits.idleMs());
-    callerServer = Optional.of(opened(server.start()));
-  }
-
-  private double configAge() {
-    return operatorFollower.ageMs() / 1e3;
+    metrics.gauge(
+        "config_age_seconds", "Age of the configuration", () -> operatorFollower.ageMs() / 1e3);
   }
 
   private void follow() {
@@ -398,12 +359,4 @@
     }
     return part;
   }
-
-  private static void pause() {
-    try {
-      Thread.sleep(DRAIN_POLL_MS);
-    } catch (InterruptedException e) {
-      Thread.currentThread().interrupt();
-    }
-  }
 }
--- a/server/src/main/java/org/marigoldmill/server/Duty.java
+++ b/server/src/main/java/org/marigoldmill/server/Duty.java
@@ -54,16 +54,8 @@
         logger.atWarning().atMostEvery(LOG_EVERY_SECONDS, TimeUnit.SECONDS).log(
             "%s: %s", name, e.getMessage());
         logger.atFine().withCause(e).log("%s", name);
-        pause(Math.max(pauseMs, 100));
+        Pause.millis(Math.max(pauseMs, 100));
       }
     }
   }
-
-  private static void pause(long ms) {
-    try {
-      Thread.sleep(ms);
-    } catch (InterruptedException e) {
-      Thread.currentThread().interrupt();
-    }
-  }
 }
--- a/server/src/main/java/org/marigoldmill/server/EntryInstance.java
+++ b/server/src/main/java/org/marigoldmill/server/EntryInstance.java
@@ -293,15 +293,15 @@
     ready = false;
     members.leave();
     exchange.tellAll();
-    pause(settings.getDrainNoticeMs());
+    Pause.millis(settings.getDrainNoticeMs());
     refusing = true;
     long until = clock.now() + settings.getDrainTimeoutMs();
     while (calls.open() > 0 && clock.now() < until) {
-      pause(DRAIN_POLL_MS);
+      Pause.millis(DRAIN_POLL_MS);
     }
     leases.releaseAll();
     exchange.tellAll();
-    pause(CONTROL_MS);
+    Pause.millis(CONTROL_MS);
     close();
     logger.atInfo().log("stopped");
   }
@@ -319,14 +319,6 @@
     }
   }
 
-  private static void pause(long ms) {
-    try {
-      Thread.sleep(ms);
-    } catch (InterruptedException e) {
-      Thread.currentThread().interrupt();
-    }
-  }
-
   private final class PeerAnswers implements PeerServer.Answers {
     @Override
     public ExchangeMessage exchange(ExchangeMessage message) {
--- a/server/src/main/java/org/marigoldmill/server/batch/ItemRunner.java
+++ b/server/src/main/java/org/marigoldmill/server/batch/ItemRunner.java
@@ -24,6 +24,7 @@
 import org.marigoldmill.schema.submission.Submission;
 import org.marigoldmill.server.Clock;
 import org.marigoldmill.server.Metrics;
+import org.marigoldmill.server.Pause;
 import org.marigoldmill.server.deployment.DeploymentState;
 import org.marigoldmill.server.deployment.UpstreamProtocol;
 import org.marigoldmill.server.gateway.Forwarder;
@@ -274,7 +275,7 @@
         giveUp(task, "its reward call failed at each run");
         return Optional.empty();
       }
-      pause();
+      Pause.millis(REWARD_PAUSE_MS);
     }
     return Optional.empty();
   }
@@ -323,7 +324,7 @@
     while (stored != PartitionReplica.Result.HOLDS && !task.cancelled()) {
       stored = replica.commit(s -> s.finish(result), COMMIT_MS).join();
       if (stored != PartitionReplica.Result.HOLDS) {
-        pause();
+        Pause.millis(REWARD_PAUSE_MS);
       }
     }
     metrics.sample(
@@ -332,12 +333,4 @@
         "item stored id=%s submission=%s completed=%s outcome=%s",
         result.getItemId(), result.getSubmissionId(), result.getCompleted(), stored);
   }
-
-  private static void pause() {
-    try {
-      Thread.sleep(REWARD_PAUSE_MS);
-    } catch (InterruptedException e) {
-      Thread.currentThread().interrupt();
-    }
-  }
 }
--- a/server/src/main/java/org/marigoldmill/server/call/Quarantine.java
+++ b/server/src/main/java/org/marigoldmill/server/call/Quarantine.java
@@ -9,6 +9,7 @@
 import org.marigoldmill.http.HttpClient;
 import org.marigoldmill.schema.platform.PlatformInstance;
 import org.marigoldmill.server.Clock;
+import org.marigoldmill.server.Pause;
 
 /**
  * Keeps requests that crash their upstreams from running again.
@@ -55,19 +56,11 @@
       if (!client.accepts(upstream.getAddress())) {
         return true;
       }
-      pause();
+      Pause.millis(PROBE_PAUSE_MS);
     }
     return false;
   }
 
-  private static void pause() {
-    try {
-      Thread.sleep(PROBE_PAUSE_MS);
-    } catch (InterruptedException e) {
-      Thread.currentThread().interrupt();
-    }
-  }
-
   /** Takes in an attempt that was answered. */
   void survived(CallContext call) {
     suspects.survived(fingerprint(call), clock.now());
--- a/server/src/main/java/org/marigoldmill/server/gateway/CrashWatch.java
+++ b/server/src/main/java/org/marigoldmill/server/gateway/CrashWatch.java
@@ -11,6 +11,7 @@
 import org.marigoldmill.http.CallFailure;
 import org.marigoldmill.http.HttpClient;
 import org.marigoldmill.server.Clock;
+import org.marigoldmill.server.Pause;
 import org.marigoldmill.server.duty.FleetLog;
 
 /**
@@ -68,13 +69,7 @@
   }
 
   private void look(Forwarder.Request request, Engine engine) {
-    try {
-      Thread.sleep(DYING_MS);
-    } catch (InterruptedException e) {
-      Thread.currentThread().interrupt();
-      return;
-    }
-    if (!client.accepts(engine.address())) {
+    if (Pause.millis(DYING_MS) && !client.accepts(engine.address())) {
       boolean held = suspects.crashed(fingerprint(request), engine.id(), clock.now());
       logger.atInfo().log(
           "upstream crashed under a request id=%s engine=%s quarantined=%s",
--- a/server/src/main/java/org/marigoldmill/server/gateway/Forwarder.java
+++ b/server/src/main/java/org/marigoldmill/server/gateway/Forwarder.java
@@ -16,9 +16,10 @@
 import org.marigoldmill.http.HttpCall;
 import org.marigoldmill.schema.platform.PlatformInstance;
 import org.marigoldmill.server.Clock;
-import org.marigoldmill.server.deployment.EngineRegistry;
+import org.marigoldmill.server.Pause;
 import org.marigoldmill.server.deployment.UpstreamProtocol;
 import org.marigoldmill.server.deployment.UpstreamProtocol.Attempt;
+import org.marigoldmill.server.gateway.UpstreamPicker.Picked;
 
 /** Carries requests to upstreams, with further attempts where the route allows them. */
 public final class Forwarder {
@@ -79,26 +80,23 @@
       int failures,
       String engine) {}
 
-  private final EngineRegistry registry;
+  private final UpstreamPicker picker;
   private final UpstreamTable upstreams;
   private final UpstreamSender sender;
   private final CrashWatch crashes;
-  private final String zone;
   private final Clock clock;
 
-  /** Creates a forwarder of an instance in a zone. */
+  /** Creates a forwarder that sends to the upstreams of a picker. */
   public Forwarder(
-      EngineRegistry registry,
+      UpstreamPicker picker,
       UpstreamTable upstreams,
       UpstreamSender sender,
       CrashWatch crashes,
-      String zone,
       Clock clock) {
-    this.registry = registry;
+    this.picker = picker;
     this.upstreams = upstreams;
     this.sender = sender;
     this.crashes = crashes;
-    this.zone = zone;
     this.clock = clock;
   }
 
@@ -148,39 +146,30 @@
         kind = maybeRun ? ErrorKind.UPSTREAM_LOST : ErrorKind.NO_UPSTREAM;
         return false;
       }
-      Optional<Engine> chosen = choose();
+      Optional<Picked> chosen = choose();
       if (chosen.isEmpty()) {
         return false;
       }
-      engine = chosen.get().id();
+      engine = chosen.get().engine().id();
       visited.add(engine);
       boolean again = attempt(chosen.get(), remaining);
       return again && attempts < request.route().maxAttempts() && refusals < MOST_REFUSALS;
     }
 
-    private Optional<Engine> choose() {
-      Optional<Engine> chosen = acquire();
+    /** Upstreams that were tried come again once all have been, after a pause. */
+    private Optional<Picked> choose() {
+      Optional<Picked> chosen = picker.pick(request.service(), name -> !visited.contains(name));
       if (chosen.isEmpty() && !visited.isEmpty()) {
         visited.clear();
-        pause();
-        chosen = acquire();
+        Pause.millis(REFUSAL_PAUSE_MS);
+        chosen = picker.pick(request.service(), name -> true);
       }
       return chosen;
     }
 
-    private Optional<Engine> acquire() {
-      Optional<PlatformInstance> instance =
-          upstreams.acquire(
-              request.service(),
-              zone,
-              Integer.MAX_VALUE,
-              i -> !visited.contains(i.getName()),
-              clock.now());
-      return instance.flatMap(i -> registry.engine(i.getName()));
-    }
-
-    private boolean attempt(Engine target, long remaining) {
-      PlatformInstance instance = PlatformInstance.newBuilder().setName(target.id()).build();
+    private boolean attempt(Picked chosen, long remaining) {
+      Engine target = chosen.engine();
+      PlatformInstance instance = chosen.instance();
       attempts++;
       Attempt attempt =
           new Attempt(
@@ -273,14 +262,6 @@
       }
       return notSent || request.route().repeatable();
     }
-
-    private void pause() {
-      try {
-        Thread.sleep(REFUSAL_PAUSE_MS);
-      } catch (InterruptedException e) {
-        Thread.currentThread().interrupt();
-      }
-    }
   }
 
   /** Statuses that tell a caller that its request has not run. */
--- a/server/src/main/java/org/marigoldmill/server/gateway/StreamCarrier.java
+++ b/server/src/main/java/org/marigoldmill/server/gateway/StreamCarrier.java
@@ -19,8 +19,8 @@
 import org.marigoldmill.schema.platform.PlatformInstance;
 import org.marigoldmill.server.Clock;
 import org.marigoldmill.server.deployment.CallerProtocol;
-import org.marigoldmill.server.deployment.EngineRegistry;
 import org.marigoldmill.server.deployment.UpstreamProtocol.Attempt;
+import org.marigoldmill.server.gateway.UpstreamPicker.Picked;
 import org.xnio.IoUtils;
 
 /**
@@ -48,26 +48,23 @@
    */
   public record Outcome(boolean begun, boolean whole, boolean ran, ErrorKind kind, String engine) {}
 
-  private final EngineRegistry registry;
+  private final UpstreamPicker picker;
   private final UpstreamTable upstreams;
   private final UpstreamSender sender;
   private final CallerProtocol callers;
-  private final String zone;
   private final Clock clock;
 
-  /** Creates a carrier of an instance in a zone. */
+  /** Creates a carrier that sends to the upstreams of a picker. */
   public StreamCarrier(
-      EngineRegistry registry,
+      UpstreamPicker picker,
       UpstreamTable upstreams,
       UpstreamSender sender,
       CallerProtocol callers,
-      String zone,
       Clock clock) {
-    this.registry = registry;
+    this.picker = picker;
     this.upstreams = upstreams;
     this.sender = sender;
     this.callers = callers;
-    this.zone = zone;
     this.clock = clock;
   }
 
@@ -121,39 +118,31 @@
         kind = maybeRan ? ErrorKind.UPSTREAM_SILENT : ErrorKind.DEADLINE_EXPIRED;
         return Step.ENDED;
       }
-      Optional<PlatformInstance> chosen =
-          acquire(true).or(() -> visited.isEmpty() ? Optional.empty() : acquire(false));
-      Optional<Engine> target = chosen.flatMap(i -> registry.engine(i.getName()));
-      if (target.isEmpty()) {
-        chosen.ifPresent(upstreams::released);
+      Optional<Picked> chosen =
+          picker
+              .pick(request.service(), name -> !visited.contains(name))
+              .or(() -> picker.pick(request.service(), name -> true));
+      if (chosen.isEmpty()) {
         return Step.ENDED;
       }
-      engine = target.get().id();
+      PlatformInstance instance = chosen.get().instance();
+      engine = chosen.get().engine().id();
       visited.add(engine);
       try {
-        Step step = send(target.get(), remaining);
-        upstreams.succeeded(chosen.get());
+        Step step = send(chosen.get().engine(), remaining);
+        upstreams.succeeded(instance);
         return step;
       } catch (CallFailure e) {
-        upstreams.failed(chosen.get(), clock.now());
+        upstreams.failed(instance, clock.now());
         return broken(e);
       } catch (IOException e) {
-        upstreams.released(chosen.get());
+        upstreams.released(instance);
         kind = ErrorKind.UPSTREAM_LOST;
         logger.atInfo().log("caller has left id=%s cause=%s", request.id(), e.getMessage());
         return Step.ENDED;
       }
     }
 
-    private Optional<PlatformInstance> acquire(boolean other) {
-      return upstreams.acquire(
-          request.service(),
-          zone,
-          Integer.MAX_VALUE,
-          i -> !other || !visited.contains(i.getName()),
-          clock.now());
-    }
-
     private Step send(Engine target, long remaining) throws IOException {
       Attempt attempt =
           new Attempt(
--- a/server/src/main/java/org/marigoldmill/server/operator/Publisher.java
+++ b/server/src/main/java/org/marigoldmill/server/operator/Publisher.java
@@ -17,6 +17,7 @@
 import org.marigoldmill.schema.operator.PublishReply;
 import org.marigoldmill.schema.peer.MemberEntry;
 import org.marigoldmill.server.Clock;
+import org.marigoldmill.server.Pause;
 import org.marigoldmill.server.peer.Knowledge;
 import org.marigoldmill.server.peer.PeerExchange;
 import org.marigoldmill.server.platform.LogAppender;
@@ -91,7 +92,7 @@
               .newRecord()
               .setWithdrawal(KeyWithdrawal.newBuilder().addAllSha256(missing))
               .build());
-      pause(RETRY_MS);
+      Pause.millis(RETRY_MS);
     }
   }
 
@@ -133,7 +134,7 @@
     List<String> behind = behind(revision);
     while (!behind.isEmpty() && clock.now() < until) {
       exchange.tellAll();
-      pause(POLL_MS);
+      Pause.millis(POLL_MS);
       behind = behind(revision);
     }
     return behind;
@@ -154,12 +155,4 @@
         .setCurrentRevision(current)
         .build();
   }
-
-  private static void pause(long ms) {
-    try {
-      Thread.sleep(ms);
-    } catch (InterruptedException e) {
-      Thread.currentThread().interrupt();
-    }
-  }
 }
--- a/server/src/main/java/org/marigoldmill/server/store/PartitionReplica.java
+++ b/server/src/main/java/org/marigoldmill/server/store/PartitionReplica.java
@@ -14,6 +14,7 @@
 import org.marigoldmill.core.submission.KeyedRecord;
 import org.marigoldmill.core.submission.PartitionState;
 import org.marigoldmill.server.Clock;
+import org.marigoldmill.server.Pause;
 
 /**
  * A replica of one partition of submissions, and the only way to change it.
@@ -147,7 +148,7 @@
     List<Waiting> open = new ArrayList<>(batch);
     while (!open.isEmpty()) {
       if (!follower.ready() && !follower.catchUp()) {
-        pause();
+        Pause.millis(retryMs);
       } else {
         attempt(open);
       }
@@ -191,7 +192,7 @@
         sent.forEach(e -> finish(open, e, Result.HOLDS));
       }
       case MOVED -> follower.catchUp();
-      case REFUSED -> pause();
+      case REFUSED -> Pause.millis(retryMs);
       default -> {
         sent.forEach(e -> e.maybeStored = true);
         sent.forEach(e -> e.sentUntil = end + records.size());
@@ -199,7 +200,7 @@
             "append unanswered topic=%s partition=%d at=%d changes=%d",
             topic.name(), partition, end, sent.size());
         if (!follower.catchUp()) {
-          pause();
+          Pause.millis(retryMs);
         }
       }
     }
@@ -235,14 +236,6 @@
     return stored;
   }
 
-  private void pause() {
-    try {
-      Thread.sleep(retryMs);
-    } catch (InterruptedException e) {
-      Thread.currentThread().interrupt();
-    }
-  }
-
   private final class StateSink implements PartitionFollower.Sink {
     @Override
     public void reset() {
