Usage is told until the log has it, and sealed as soon as every process has told

A tally without an answer was dropped with a log line, so it counted twice, once or never. A process that was stopped by plan lost its present window. A seal without an answer was not tried again by its holder.

A process seals only windows that ended after the last gap in what it read, as the seal may stand in the gap; this takes the place of "windows since the start". A stopping process tells its last counts.

Ruled out: a shorter fixed wait, which leaves out processes cut off for some seconds; reporting without the lease.

Seen failing first on the code before: UsageDutyTest, both "should report every request once when appends are lost, late or unanswered" (window 50 was {o1=3, o2=1} instead of {o0=2, o1=5, o2=3}) and "should report in time when the store is away soon after the window" (none).

--- a/server/src/main/java/org/marigoldmill/server/DeploymentInstance.java
+++ b/server/src/main/java/org/marigoldmill/server/DeploymentInstance.java
@@ -91,6 +91,7 @@
   private final Rollouts rollouts;
   private final Gateway gateway;
   private final DeploymentServers servers;
+  private Runnable tellUsage = () -> {};
 
   private DeploymentInstance(DeploymentSettings settings, Ports ports, String readyPath) {
     this.settings = settings;
@@ -240,6 +241,7 @@
       Pause.millis(DRAIN_POLL_MS);
     }
     rollouts.cancelAll();
+    tellUsage.run();
     logger.atInfo().log("stopped open=%d", gateway.open());
     close();
   }
@@ -323,6 +325,7 @@
               settings.getUsageLateMs(),
               System::currentTimeMillis);
       duty(TICK_MS * 2, "usage", reports::runRound);
+      tellUsage = reports::tellAll;
     }
   }
 
--- a/server/src/main/java/org/marigoldmill/server/duty/FleetLog.java
+++ b/server/src/main/java/org/marigoldmill/server/duty/FleetLog.java
@@ -4,7 +4,6 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.NavigableMap;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.TreeMap;
@@ -12,6 +11,7 @@
 import java.util.function.LongSupplier;
 import org.marigoldmill.core.quarantine.SuspectTable;
 import org.marigoldmill.core.submission.KeyedRecord;
+import org.marigoldmill.core.usage.WindowTallies;
 import org.marigoldmill.core.weights.EngineVersions;
 import org.marigoldmill.core.weights.LoadQueue;
 import org.marigoldmill.core.weights.WeightPlan;
@@ -48,8 +48,9 @@
   private final Map<String, Long> kept = new ConcurrentHashMap<>();
   private final Clock clock;
   private final PartitionFollower follower;
-  private final TreeMap<Long, Map<String, Long>> tallies = new TreeMap<>();
+  private final WindowTallies tallies = new WindowTallies();
   private final TreeMap<Long, Map<String, Long>> seals = new TreeMap<>();
+  private long completeSince;
 
   /** Creates the log of one instance. */
   public FleetLog(
@@ -69,6 +70,7 @@
     this.suspects = suspects;
     this.unixMs = unixMs;
     this.clock = clock;
+    this.completeSince = unixMs.getAsLong();
     this.follower = new PartitionFollower(store, TOPIC, 0, POLL_MS, 0, this, clock);
   }
 
@@ -77,10 +79,16 @@
     return follower;
   }
 
-  /** Tells the usage that this instance counted in a window. */
-  public LogStore.Outcome tally(long window, Map<String, Long> counts) {
-    UsageTally tally = UsageTally.newBuilder().setWindow(window).addAllUsage(usage(counts)).build();
-    return append(FleetRecord.newBuilder().setTally(tally));
+  /** Tells the usage that a process counted in a window. */
+  LogStore.Outcome tell(WindowTallies.Tally tally) {
+    UsageTally record =
+        UsageTally.newBuilder()
+            .setProcess(tally.process())
+            .setNumber(tally.number())
+            .setWindow(tally.window())
+            .addAllUsage(usage(tally.requests()))
+            .build();
+    return append(FleetRecord.newBuilder().setTally(record));
   }
 
   /** Proposes the figures of a window. */
@@ -128,9 +136,9 @@
     return until != null && unixMs.getAsLong() < until;
   }
 
-  /** Returns the requests of each organisation that instances told for a window. */
-  public synchronized Map<String, Long> told(long window) {
-    return Map.copyOf(tallies.getOrDefault(window, Map.of()));
+  /** Returns what the processes told of the usage in each window. */
+  WindowTallies tallies() {
+    return tallies;
   }
 
   /** Returns the figures of each window that is sealed. */
@@ -138,8 +146,19 @@
     return new TreeMap<>(seals);
   }
 
+  /**
+   * Returns the time of day from which on no record has been missed, in Unix milliseconds.
+   *
+   * <p>A window that ended before may have been sealed by a record that was dropped unread.
+   */
+  synchronized long completeSince() {
+    return completeSince;
+  }
+
   @Override
-  public void reset() {}
+  public synchronized void reset() {
+    completeSince = unixMs.getAsLong();
+  }
 
   @Override
   public synchronized void apply(StoredRecord stored) {
@@ -151,7 +170,8 @@
     }
     switch (told.getBodyCase()) {
       case TALLY -> add(told.getTally());
-      case SEAL -> seals.putIfAbsent(told.getSeal().getWindow(), counts(told.getSeal()));
+      case SEAL ->
+          seals.putIfAbsent(told.getSeal().getWindow(), counts(told.getSeal().getUsageList()));
       case ORDER -> note(told.getOrder());
       case WANTED -> wish(told.getWanted());
       case KEPT -> keep(told);
@@ -160,15 +180,20 @@
         // The body is of a newer version.
       }
     }
-    trim(tallies);
-    trim(seals);
+    while (seals.size() > WINDOWS_KEPT) {
+      seals.pollFirstEntry();
+    }
   }
 
+  /** A tally that comes after its window was sealed is in no bill. */
   private void add(UsageTally tally) {
-    Map<String, Long> counts = tallies.computeIfAbsent(tally.getWindow(), w -> new HashMap<>());
-    tally
-        .getUsageList()
-        .forEach(u -> counts.merge(u.getOrganisation(), u.getRequests(), Long::sum));
+    if (seals.containsKey(tally.getWindow())) {
+      return;
+    }
+    Map<String, Long> requests = counts(tally.getUsageList());
+    tallies.add(
+        new WindowTallies.Tally(
+            tally.getProcess(), tally.getNumber(), tally.getWindow(), requests));
   }
 
   private void keep(FleetRecord told) {
@@ -209,9 +234,9 @@
         .outcome();
   }
 
-  private static Map<String, Long> counts(UsageSeal seal) {
+  private static Map<String, Long> counts(List<Usage> usage) {
     Map<String, Long> counts = new HashMap<>();
-    seal.getUsageList().forEach(u -> counts.merge(u.getOrganisation(), u.getRequests(), Long::sum));
+    usage.forEach(u -> counts.merge(u.getOrganisation(), u.getRequests(), Long::sum));
     return counts;
   }
 
@@ -220,10 +245,4 @@
         .map(e -> Usage.newBuilder().setOrganisation(e.getKey()).setRequests(e.getValue()).build())
         .toList();
   }
-
-  private static void trim(NavigableMap<Long, ?> windows) {
-    while (windows.size() > WINDOWS_KEPT) {
-      windows.pollFirstEntry();
-    }
-  }
 }
--- a/server/src/main/java/org/marigoldmill/server/duty/UsageCounter.java
+++ b/server/src/main/java/org/marigoldmill/server/duty/UsageCounter.java
@@ -31,21 +31,14 @@
     }
   }
 
-  /** Returns the windows with counts that ended at least a time ago, in milliseconds. */
-  public synchronized List<Long> ended(long agoMs) {
-    long present = (unixMs.getAsLong() - agoMs) / windowMs;
-    return counts.keySet().stream().filter(w -> w < present).sorted().toList();
+  /** Returns the windows with counts that are before a window. */
+  synchronized List<Long> before(long window) {
+    return counts.keySet().stream().filter(w -> w < window).sorted().toList();
   }
 
   /** Returns and forgets the counts of a window. */
-  public synchronized Map<String, Long> take(long window) {
+  synchronized Map<String, Long> take(long window) {
     Map<String, Long> taken = counts.remove(window);
     return taken == null ? Map.of() : taken;
   }
-
-  /** Puts counts back that could not be told. */
-  public synchronized void putBack(long window, Map<String, Long> taken) {
-    Map<String, Long> kept = counts.computeIfAbsent(window, w -> new HashMap<>());
-    taken.forEach((organisation, n) -> kept.merge(organisation, n, Long::sum));
-  }
 }
--- /dev/null
+++ b/server/src/test/java/org/marigoldmill/server/duty/UsageDutyTest.java
@@ -0,0 +1,215 @@
+package org.marigoldmill.server.duty;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.OptionalLong;
+import java.util.Random;
+import java.util.TreeMap;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicLong;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.marigoldmill.core.quarantine.SuspectTable;
+import org.marigoldmill.core.routing.UpstreamTable;
+import org.marigoldmill.core.submission.KeyedRecord;
+import org.marigoldmill.core.weights.EngineVersions;
+import org.marigoldmill.core.weights.LoadQueue;
+import org.marigoldmill.server.deployment.DutyApi;
+import org.marigoldmill.server.deployment.EngineRegistry;
+import org.marigoldmill.server.store.FaultyStore;
+import org.marigoldmill.server.store.LogStore;
+import org.marigoldmill.server.store.StoreUnavailable;
+import org.marigoldmill.server.store.Topic;
+
+/** Usage is reported once a window, whole and in time, over a store that fails. */
+class UsageDutyTest {
+  private static final long WINDOW_MS = 5_000;
+  private static final long LATE_MS = 10_000;
+  private static final long ROUND_MS = 100;
+  private static final long TTL_MS = 2_000;
+  private static final int FAULT_PERCENT = 20;
+  private static final int WINDOWS = 12;
+  private static final int PROCESSES = 2;
+
+  private final AtomicLong time = new AtomicLong(50 * WINDOW_MS);
+  private final Map<Long, Map<String, Long>> truth = new TreeMap<>();
+  private final Map<Long, Map<String, Long>> reports = new TreeMap<>();
+  private final Map<Long, Long> reportedAt = new TreeMap<>();
+
+  /** One process that counts and may hold the lease. */
+  private final class Counter {
+    private final UsageCounter counter = new UsageCounter(WINDOW_MS, time::get);
+    private final FleetLog fleet;
+    private final DutyLeaseHolder lease;
+    private final UsageDuty duty;
+
+    private Counter(String name, LogStore store) {
+      EngineVersions versions = new EngineVersions();
+      UpstreamTable upstreams = UpstreamTable.with(new Random(1));
+      fleet =
+          new FleetLog(
+              store,
+              name,
+              new EngineRegistry(null, upstreams, versions),
+              versions,
+              new LoadQueue(1),
+              new SuspectTable(),
+              time::get,
+              time::get);
+      lease = new DutyLeaseHolder(store, name, TTL_MS, 0, time::get);
+      DutyApi api = this::report;
+      duty = new UsageDuty(counter, fleet, lease, api, name, WINDOW_MS, LATE_MS, time::get);
+    }
+
+    private boolean report(String holder, long epoch, long window, Map<String, Long> counts) {
+      assertThat(reports.getOrDefault(window, counts)).as("window %d", window).isEqualTo(counts);
+      reports.put(window, counts);
+      reportedAt.putIfAbsent(window, time.get());
+      return true;
+    }
+
+    private void count(String organisation) {
+      counter.began(organisation);
+      truth
+          .computeIfAbsent(time.get() / WINDOW_MS, w -> new TreeMap<>())
+          .merge(organisation, 1L, Long::sum);
+    }
+
+    private void runRound() {
+      lease.follower().catchUp();
+      lease.runRound();
+      fleet.follower().catchUp();
+      duty.runRound();
+    }
+  }
+
+  /** Two topics over two logs, with an outage while a flag is set. */
+  private static final class Store implements LogStore {
+    private final FaultyStore leases;
+    private final FaultyStore fleet;
+    private final AtomicBoolean away = new AtomicBoolean();
+
+    private Store(long seed, int faultPercent) {
+      leases = new FaultyStore(seed, faultPercent);
+      fleet = new FaultyStore(seed + 1, faultPercent);
+    }
+
+    private FaultyStore of(Topic topic) {
+      return topic.equals(DutyLeaseHolder.TOPIC) ? leases : fleet;
+    }
+
+    @Override
+    public Appended append(Topic topic, int part, OptionalLong end, List<KeyedRecord> records) {
+      return away.get()
+          ? new Appended(Outcome.UNKNOWN, -1)
+          : of(topic).append(topic, part, end, records);
+    }
+
+    @Override
+    public Read read(Topic topic, int partition, long from, long waitMs) {
+      if (away.get()) {
+        throw new StoreUnavailable("outage of the test");
+      }
+      return of(topic).read(topic, partition, from, waitMs);
+    }
+
+    @Override
+    public Newest newest(Topic topic, int partition) {
+      if (away.get()) {
+        throw new StoreUnavailable("outage of the test");
+      }
+      return of(topic).newest(topic, partition);
+    }
+
+    @Override
+    public Membership join(String group, String member, Topic topic, long ttlMs, long generation) {
+      throw new StoreUnavailable("groups are not part of this test");
+    }
+
+    @Override
+    public void leave(String group, String member) {}
+  }
+
+  private void advance(List<Counter> processes) {
+    time.addAndGet(ROUND_MS);
+    processes.forEach(Counter::runRound);
+  }
+
+  @Property(tries = 40, seed = "11")
+  void should_report_every_request_once_when_appends_are_lost_late_or_unanswered(
+      @ForAll long seed) {
+    // GIVEN
+    Store store = new Store(seed, FAULT_PERCENT);
+    List<Counter> processes = new ArrayList<>();
+    for (int i = 0; i < PROCESSES; i++) {
+      processes.add(new Counter("p" + i, store));
+    }
+    // WHEN
+    Random random = new Random(seed);
+    long last = time.get() / WINDOW_MS + WINDOWS;
+    while (time.get() / WINDOW_MS < last) {
+      advance(processes);
+      if (random.nextInt(3) == 0) {
+        processes.get(random.nextInt(PROCESSES)).count("o" + random.nextInt(3));
+      }
+    }
+    for (long until = time.get() + LATE_MS; time.get() < until; ) {
+      advance(processes);
+    }
+    // THEN
+    assertThat(truth).isNotEmpty();
+    truth.forEach(
+        (window, counts) ->
+            assertThat(reports.get(window)).as("window %d", window).isEqualTo(counts));
+  }
+
+  @Nested
+  class RunRound {
+    @Test
+    void should_report_in_time_when_the_store_is_away_soon_after_the_window() {
+      // GIVEN
+      Store store = new Store(1, 0);
+      List<Counter> processes = List.of(new Counter("p0", store), new Counter("p1", store));
+      long window = time.get() / WINDOW_MS + 2;
+      long end = (window + 1) * WINDOW_MS;
+      while (time.get() < end + 1_500) {
+        advance(processes);
+        processes.forEach(p -> p.count("o"));
+      }
+      // WHEN: the outage outlasts the time in which the window is due
+      store.away.set(true);
+      while (time.get() < end + LATE_MS) {
+        advance(processes);
+      }
+      // THEN
+      assertThat(reports.get(window)).isEqualTo(truth.get(window));
+      assertThat(reportedAt.get(window)).isLessThanOrEqualTo(end + LATE_MS);
+    }
+  }
+
+  @Nested
+  class TellAll {
+    @Test
+    void should_bill_the_present_window_when_the_process_ends_in_it() {
+      // GIVEN
+      Store store = new Store(1, 0);
+      Counter stopping = new Counter("p0", store);
+      Counter staying = new Counter("p1", store);
+      advance(List.of(stopping, staying));
+      long window = time.get() / WINDOW_MS;
+      stopping.count("o");
+      // WHEN
+      stopping.duty.tellAll();
+      while (time.get() < (window + 1) * WINDOW_MS + LATE_MS) {
+        advance(List.of(staying));
+      }
+      // THEN
+      assertThat(reports.get(window)).isEqualTo(Map.of("o", 1L));
+    }
+  }
+}
