Bad input is refused or passed over, with a test of 29 cases over processes

Ruled out by the same test: both lengths, two lengths, negative, huge or malformed ones, malformed chunks, large, slow or missing heads: refused before too.

--- /dev/null
+++ b/cli/src/test/java/org/marigoldmill/cli/deployment/BadInputIT.java
@@ -0,0 +1,278 @@
+package org.marigoldmill.cli.deployment;
+
+import static java.nio.charset.StandardCharsets.ISO_8859_1;
+import static java.nio.charset.StandardCharsets.UTF_8;
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.marigoldmill.cli.deployment.DeploymentWorld.MAPPER;
+
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.net.SocketException;
+import java.net.URI;
+import java.util.List;
+import java.util.function.Consumer;
+import org.junit.jupiter.api.AfterAll;
+import org.junit.jupiter.api.BeforeAll;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.parallel.Execution;
+import org.junit.jupiter.api.parallel.ExecutionMode;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+import org.marigoldmill.http.HttpAnswer;
+
+/** What is wrong is refused or passed over: no hang, no call upstream, no process that ends. */
+@Execution(ExecutionMode.SAME_THREAD)
+class BadInputIT {
+  /** Ends a test that hangs; the longest time that a case has to wait is a second. */
+  private static final int HANG_MS = 20_000;
+
+  private static final String KEY = "Api-Key: key\r\n";
+
+  /** The processes that all cases share. */
+  private static DeploymentWorld world;
+
+  @BeforeAll
+  static void start() {
+    world = new DeploymentWorld();
+  }
+
+  @AfterAll
+  static void stop() {
+    world.close();
+  }
+
+  @Nested
+  class Heads {
+    @Test
+    void should_refuse_when_the_head_is_too_large() throws IOException {
+      String large = "X-Large: " + "x".repeat(2 * DeploymentWorld.HEADER_BYTES) + "\r\n";
+      refused(
+          "GET /app/x HTTP/1.1\r\nHost: h\r\n" + KEY + "X-Attempt-Id: big\r\n" + large + "\r\n");
+    }
+
+    @Test
+    void should_end_the_connection_when_the_head_does_not_arrive() throws IOException {
+      String answer = raw("GET /app/x HTTP/1.1\r\nHost: h\r\n" + KEY + "X-Attempt-Id: slow\r\n");
+      assertThat(answer).matches("(?s)|HTTP/1.1 4.*");
+      assertThat(runs("slow")).isZero();
+      served();
+    }
+
+    @Test
+    void should_refuse_when_there_is_no_id() throws IOException {
+      refused("GET /app/x HTTP/1.1\r\nHost: h\r\n" + KEY + "Connection: close\r\n\r\n");
+    }
+
+    @ParameterizedTest
+    @ValueSource(
+        strings = {"GET\r\n\r\n", "\u0000\u0001\u0002\r\n\r\n", "GET /app/x HTTP/9.9\r\n\r\n"})
+    void should_refuse_when_it_is_not_http(String bytes) throws IOException {
+      assertThat(raw(bytes)).doesNotStartWith("HTTP/1.1 2");
+      served();
+    }
+  }
+
+  @Nested
+  class Lengths {
+    @ParameterizedTest
+    @ValueSource(
+        strings = {
+          "Content-Length: 4\r\nTransfer-Encoding: chunked\r\n",
+          "Transfer-Encoding: chunked\r\nContent-Length: 48\r\n",
+          "Content-Length: 4\r\nContent-Length: 48\r\n",
+          "Content-Length: -1\r\n",
+          "Content-Length: 4x\r\n",
+          "Content-Length: 99999999999999999999\r\n",
+          "Transfer-Encoding: chunked, identity\r\n",
+          "Transfer-Encoding: xchunked\r\n",
+        })
+    void should_run_nothing_when_the_length_is_not_clear(String lengths) throws IOException {
+      String inner = "GET /app/x HTTP/1.1\r\nHost: h\r\n" + KEY + "X-Attempt-Id: smuggled\r\n\r\n";
+      refused(head("unclear") + lengths + "\r\n0\r\n\r\n" + inner);
+      assertThat(runs("smuggled")).isZero();
+      assertThat(runs("unclear")).isZero();
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"zz\r\nabcd\r\n0\r\n\r\n", "-4\r\nabcd\r\n0\r\n\r\n"})
+    void should_run_nothing_when_a_chunk_is_malformed(String body) throws IOException {
+      assertThat(raw(head("chunk") + "Transfer-Encoding: chunked\r\n\r\n" + body))
+          .doesNotStartWith("HTTP/1.1 2");
+      assertThat(runs("chunk")).isZero();
+      served();
+    }
+
+    @Test
+    void should_refuse_when_the_body_is_too_large() throws IOException {
+      int length = 2 * DeploymentWorld.BODY_BYTES;
+      String answer = refused(head("large") + "Content-Length: " + length + "\r\n\r\n");
+      assertThat(answer).startsWith("HTTP/1.1 413");
+      assertThat(runs("large")).isZero();
+    }
+
+    private String head(String id) {
+      return "POST /app/x HTTP/1.1\r\nHost: h\r\n" + KEY + "X-Attempt-Id: " + id + "\r\n";
+    }
+  }
+
+  @Nested
+  class Submissions {
+    @ParameterizedTest
+    @ValueSource(strings = {"", "{", "[]", "7", "null", "{\"items\":7}", "{\"items\":[7]}"})
+    void should_refuse_when_it_is_no_submission(String body) {
+      refusedSubmission(body);
+    }
+
+    @Test
+    void should_refuse_when_a_field_has_another_type_or_is_missing() {
+      for (Consumer<ObjectNode> spoil : spoils()) {
+        ObjectNode submission = DeploymentWorld.submission("bad");
+        spoil.accept(submission);
+        refusedSubmission(submission.toString());
+      }
+      assertThat(runs("bad-0")).isZero();
+    }
+
+    @Test
+    void should_refuse_a_question_when_its_number_is_none() {
+      assertThat(world.ask(0, "GET", "/-/lots/s?after=abc").status()).isBetween(400, 499);
+      assertThat(world.ask(0, "GET", "/-/lots/s?after=-4").status()).isBetween(400, 499);
+    }
+
+    private List<Consumer<ObjectNode>> spoils() {
+      return List.of(
+          s -> s.remove("model"),
+          s -> s.put("model", 7),
+          s -> s.remove("items"),
+          s -> s.put("min_version", "x"),
+          s -> s.put("desired", -1),
+          s -> item(s).remove("id"),
+          s -> item(s).remove("path"),
+          s -> item(s).put("body", "&&&"),
+          s -> item(s).put("id", "bad-1"),
+          s -> item(s).putObject("scorer").put("body", "%"));
+    }
+
+    private ObjectNode item(ObjectNode submission) {
+      return (ObjectNode) ((ArrayNode) submission.get("items")).get(0);
+    }
+
+    private void refusedSubmission(String body) {
+      HttpAnswer answer =
+          world.send(
+              world.instances.get(0).caller(),
+              "POST",
+              "/batch/bad",
+              "bad-submission",
+              "key",
+              body.getBytes(UTF_8));
+      assertThat(answer.status()).as(body).isEqualTo(400);
+      assertThat(world.ask(1, "GET", "/-/lots/bad-submission?after=0").status()).isEqualTo(404);
+    }
+  }
+
+  @Nested
+  class Entries {
+    @Test
+    void should_pass_over_engines_that_cannot_be_read() {
+      ObjectNode noAddress = world.plain.entry("app");
+      noAddress.remove("address");
+      List<ObjectNode> entries =
+          List.of(
+              MAPPER.createObjectNode(),
+              noAddress,
+              world.plain.entry("app").put("state", "sleeping"),
+              world.plain.entry("app").put("state", 7),
+              world.plain.entry("app").put("address", 7),
+              world.plain.entry("app").put("address", "nowhere"),
+              world.plain.entry("app").put("born", "yesterday"),
+              world.plain.entry("app").put("slots", "many"));
+      // WHEN
+      for (int i = 0; i < entries.size(); i++) {
+        world.store.put("servers", "spoiled-" + i, entries.get(i));
+      }
+      world.store.put("servers", "spoiled-text", MAPPER.getNodeFactory().textNode("{"));
+      // THEN
+      for (int i = 0; i < entries.size(); i++) {
+        String line = "entry passed over id=spoiled-" + i;
+        DeploymentWorld.await(() -> output().contains(line));
+      }
+      DeploymentWorld.await(() -> output().contains("entry passed over id=spoiled-text"));
+      served();
+    }
+  }
+
+  @Nested
+  class Configurations {
+    @Test
+    void should_keep_the_configuration_in_force_when_the_next_cannot_be_read() {
+      // GIVEN
+      ObjectNode spoiled = DeploymentWorld.config(5);
+      spoiled.put("routes", 7);
+      // WHEN
+      world.store.put("op", "config", spoiled);
+      DeploymentWorld.await(() -> output().contains("record passed over"));
+      // THEN
+      served();
+    }
+
+    @Test
+    void should_apply_a_configuration_when_it_has_fields_that_are_unknown() {
+      // GIVEN
+      ObjectNode next = DeploymentWorld.config(7);
+      next.put("novelty", 7).putObject("limits_2").put("x", 1);
+      ((ObjectNode) next.get("routes").get(0)).put("colour", "red");
+      ((ArrayNode) next.get("tenants").get(0).get("api_keys")).add("new-key");
+      // WHEN
+      world.store.put("op", "config", next);
+      // THEN
+      DeploymentWorld.await(() -> world.call("/app/x", "new-key").status() == 200);
+    }
+  }
+
+  private static String output() {
+    return world.instances.get(0).process().output();
+  }
+
+  private static long runs(String id) {
+    return world.plain.runs().stream().filter(id::equals).count()
+        + world.engine.runs().stream().filter(id::equals).count();
+  }
+
+  /** The instance still serves what is right. */
+  private static void served() {
+    assertThat(world.call("/app/x", "key").text()).isEqualTo("answer");
+  }
+
+  private static String refused(String bytes) throws IOException {
+    String answer = raw(bytes);
+    assertThat(answer).startsWith("HTTP/1.1 4");
+    assertThat(answer.indexOf("HTTP/1.1", 1)).as("a second answer in %s", answer).isNegative();
+    served();
+    return answer;
+  }
+
+  /** Sends bytes and returns all that comes until the connection ends. */
+  private static String raw(String bytes) throws IOException {
+    URI caller = URI.create("http://" + world.instances.get(0).caller());
+    ByteArrayOutputStream answer = new ByteArrayOutputStream();
+    try (Socket socket = new Socket()) {
+      socket.connect(new InetSocketAddress(caller.getHost(), caller.getPort()));
+      socket.setSoTimeout(HANG_MS);
+      socket.getOutputStream().write(bytes.getBytes(ISO_8859_1));
+      InputStream in = socket.getInputStream();
+      for (int b = in.read(); b >= 0; b = in.read()) {
+        answer.write(b);
+      }
+    } catch (SocketException expected) {
+      // A reset after the answer: the rest of what was sent went unread.
+    }
+    return answer.toString(ISO_8859_1);
+  }
+}
--- /dev/null
+++ b/cli/src/test/java/org/marigoldmill/cli/deployment/DeploymentWorld.java
@@ -0,0 +1,201 @@
+package org.marigoldmill.cli.deployment;
+
+import static java.nio.charset.StandardCharsets.UTF_8;
+import static org.assertj.core.api.Assertions.assertThat;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Base64;
+import java.util.List;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.BooleanSupplier;
+import org.marigoldmill.cli.process.DeploymentProcess;
+import org.marigoldmill.http.CallFailure;
+import org.marigoldmill.http.HttpAnswer;
+import org.marigoldmill.http.HttpCall;
+import org.marigoldmill.http.HttpCall.Header;
+import org.marigoldmill.http.HttpClient;
+
+/** Two instances as separate processes, over stand-ins of the platform's store and engines. */
+final class DeploymentWorld implements AutoCloseable {
+  static final ObjectMapper MAPPER = new ObjectMapper();
+  static final int EVENTS = 6;
+  static final int ITEMS = 12;
+  static final int HEADER_BYTES = 8 * 1024;
+  static final int BODY_BYTES = 64 * 1024;
+
+  private static final long EVENT_MS = 100;
+  private static final long AWAIT_MS = 40_000;
+  private static final AtomicInteger RUNS = new AtomicInteger();
+
+  final StoreStandin store = new StoreStandin();
+  final EngineStandin engine = new EngineStandin("e-1", "m", EVENTS, EVENT_MS);
+  final EngineStandin plain = new EngineStandin("p-1", "", 0, 0);
+  final List<DeploymentProcess> instances = new ArrayList<>();
+  private final HttpClient client = HttpClient.create("callers", 1);
+
+  DeploymentWorld() {
+    store.put("op", "config", config(1));
+    store.put("servers", "e-1", engine.entry("llm"));
+    store.put("servers", "p-1", plain.entry("app"));
+    store.put("servers", "odd", MAPPER.createObjectNode().put("state", 7));
+    // Test classes run at the same time, so each world has files of its own.
+    Path directory =
+        Path.of(System.getProperty("marigoldmill.work"), "deployment-" + RUNS.incrementAndGet());
+    try {
+      Files.createDirectories(directory);
+      for (String name : List.of("one", "two")) {
+        instances.add(DeploymentProcess.start(name, directory, store.address()));
+      }
+    } catch (IOException e) {
+      throw new UncheckedIOException(e);
+    }
+    instances.forEach(i -> await(() -> ready(i)));
+  }
+
+  @Override
+  public void close() {
+    instances.forEach(DeploymentProcess::kill);
+    client.close();
+    engine.close();
+    plain.close();
+    store.close();
+  }
+
+  boolean ready(DeploymentProcess instance) {
+    return ask(instance.ready(), "GET", "/-/readyz", "", "").status() == 200;
+  }
+
+  HttpAnswer call(String path, String key) {
+    return ask(instances.get(0).caller(), "GET", path, "call-" + path.hashCode(), key);
+  }
+
+  JsonNode results(int instance, String id, int after) {
+    HttpAnswer answer = ask(instance, "GET", "/-/lots/" + id + "?after=" + after);
+    return answer.status() == 200
+        ? read(answer)
+        : MAPPER.createObjectNode().put("next", -1).set("results", MAPPER.createArrayNode());
+  }
+
+  HttpAnswer item(int instance, String id, String item) {
+    return ask(instance, "GET", "/-/items/" + id + "?id=" + item);
+  }
+
+  HttpAnswer ask(int instance, String method, String path) {
+    return ask(instances.get(instance).caller(), method, path, "", "key");
+  }
+
+  HttpAnswer ask(String address, String method, String path, String id, String key) {
+    return send(address, method, path, id, key, new byte[0]);
+  }
+
+  HttpAnswer post(int instance, String path, String id, JsonNode body) {
+    return send(
+        instances.get(instance).caller(), "POST", path, id, "key", body.toString().getBytes(UTF_8));
+  }
+
+  HttpAnswer send(String address, String method, String path, String id, String key, byte[] body) {
+    HttpCall call =
+        HttpCall.post(address, path, body)
+            .method(method)
+            .headers(
+                List.of(
+                    new Header("Host", "h"),
+                    new Header("Api-Key", key),
+                    new Header("X-Attempt-Id", id)))
+            .onFreshConnection();
+    try {
+      return client.exchange(call);
+    } catch (CallFailure e) {
+      return HttpAnswer.text(599, e.getMessage());
+    }
+  }
+
+  static ObjectNode submission() {
+    return submission("item");
+  }
+
+  static ObjectNode submission(String prefix) {
+    ObjectNode body = MAPPER.createObjectNode();
+    body.put("step", 0).put("model", "m").put("min_version", 1).put("desired", 3);
+    ArrayNode items = body.putArray("items");
+    for (int i = 0; i < ITEMS; i++) {
+      String id = prefix + "-" + i;
+      ObjectNode item = items.addObject().put("id", id).put("path", "/gen/" + id);
+      item.put("body", encoded("body of " + id)).put("tokens", 20).put("group", "g" + i / 4);
+      item.putObject("headers").put("X-Model", "m").put("X-Token-Counts", "10,10");
+      ObjectNode reward = item.putObject("scorer").put("id", "reward-" + id);
+      reward.put("host", "h").put("path", "/app/score").put("body", encoded("score"));
+    }
+    return body;
+  }
+
+  static ObjectNode config(long version) {
+    ObjectNode config = MAPPER.createObjectNode().put("version", version);
+    config
+        .putObject("limits")
+        .put("max_header_bytes", HEADER_BYTES)
+        .put("max_body_bytes", BODY_BYTES)
+        .put("header_timeout_ms", 1_000)
+        .put("idle_timeout_ms", 10_000);
+    ArrayNode routes = config.putArray("routes");
+    route(routes, "/app/", "idempotent", "app").put("max_attempts", 2).put("slo_ms", 500);
+    route(routes, "/batch/", "weight_rollout", "llm")
+        .put("max_attempts", 3)
+        .put("run_slo_ms", 7_500)
+        .put("retention_s", 60);
+    route(routes, "/gen/", "idempotent", "llm")
+        .put("max_attempts", 3)
+        .put("streaming", true)
+        .put("resumable", true);
+    ArrayNode services = config.putArray("services");
+    services.addObject().put("name", "app");
+    ObjectNode llm = services.addObject().put("name", "llm");
+    llm.putObject("engine").putArray("models").addObject().put("name", "m");
+    ArrayNode tenants = config.putArray("tenants");
+    tenants.addObject().put("name", "t").putArray("api_keys").add("key");
+    tenants.addObject().put("name", "other").putArray("api_keys").add("other-key");
+    return config;
+  }
+
+  private static ObjectNode route(ArrayNode routes, String prefix, String kind, String service) {
+    ObjectNode route = routes.addObject().put("name", prefix).put("host", "h");
+    return route
+        .put("path_prefix", prefix)
+        .put("kind", kind)
+        .put("service", service)
+        .put("timeout_ms", 5_000);
+  }
+
+  private static String encoded(String text) {
+    return Base64.getEncoder().encodeToString(text.getBytes(UTF_8));
+  }
+
+  private static JsonNode read(HttpAnswer answer) {
+    try {
+      return MAPPER.readTree(answer.body());
+    } catch (IOException e) {
+      throw new IllegalStateException(answer.text(), e);
+    }
+  }
+
+  /** Waits for a state that the system must reach; the limit only ends a run that hangs. */
+  static void await(BooleanSupplier reached) {
+    long until = System.currentTimeMillis() + AWAIT_MS;
+    while (!reached.getAsBoolean()) {
+      assertThat(System.currentTimeMillis()).as("time to wait").isLessThan(until);
+      try {
+        Thread.sleep(50);
+      } catch (InterruptedException e) {
+        Thread.currentThread().interrupt();
+      }
+    }
+  }
+}
--- a/server/src/main/java/org/marigoldmill/server/gateway/Gateway.java
+++ b/server/src/main/java/org/marigoldmill/server/gateway/Gateway.java
@@ -4,7 +4,10 @@
 import io.undertow.io.Receiver;
 import io.undertow.server.HttpHandler;
 import io.undertow.server.HttpServerExchange;
+import io.undertow.server.RequestTooBigException;
+import io.undertow.util.HeaderValues;
 import io.undertow.util.Headers;
+import java.io.IOException;
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -85,6 +88,10 @@
           next.proceed();
         });
     deployment.config().ifPresent(c -> exchange.setMaxEntitySize(c.limits().bodyBytes()));
+    if (!clearlyFramed(exchange)) {
+      unreadable(exchange, new IOException("transfer encoding that is not known"));
+      return;
+    }
     exchange
         .getRequestReceiver()
         .receiveFullBytes(
@@ -92,8 +99,17 @@
             (failed, cause) -> unreadable(failed, cause));
   }
 
+  /** The end of a body can only be told from its length or when it is chunked and nothing else. */
+  private static boolean clearlyFramed(HttpServerExchange exchange) {
+    HeaderValues encodings = exchange.getRequestHeaders().get(Headers.TRANSFER_ENCODING);
+    return encodings == null
+        || (encodings.size() == 1 && encodings.getFirst().trim().equalsIgnoreCase("chunked"));
+  }
+
   private void unreadable(HttpServerExchange exchange, Exception cause) {
-    boolean large = cause instanceof Receiver.RequestToLargeException;
+    boolean large =
+        cause instanceof Receiver.RequestToLargeException
+            || cause instanceof RequestTooBigException;
     logger.atInfo().log("request unreadable path=%s cause=%s", exchange.getRequestURI(), cause);
     exchange.setPersistent(false);
     send(exchange, protocol.refusal(large ? ErrorKind.BODY_TOO_LARGE : ErrorKind.BAD_REQUEST, 0));
