--- a/server/src/main/java/org/marigoldmill/server/gateway/Forwarder.java
+++ b/server/src/main/java/org/marigoldmill/server/gateway/Forwarder.java
@@ -6,6 +6,7 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
+import org.marigoldmill.core.attempt.AttemptRecord;
 import org.marigoldmill.core.error.ErrorKind;
 import org.marigoldmill.core.placement.Engine;
 import org.marigoldmill.core.route.Route;
@@ -27,7 +28,6 @@
   private static final long CONNECT_MS = 300;
   private static final long SHORTEST_ATTEMPT_MS = 5;
   private static final long FIRST_ATTEMPT_MS = 350;
-  private static final int MOST_REFUSALS = 6;
   private static final long REFUSAL_PAUSE_MS = 15;
   private static final long RETRY_AFTER_MS = 200;
 
@@ -109,41 +109,44 @@
   private final class Carriage {
     private final Request request;
     private final Set<String> visited = new HashSet<>();
-    private int attempts;
-    private int refusals;
-    private int failures;
-    private boolean maybeRun;
-    private boolean ran;
+    private final AttemptRecord record;
     private String engine = "";
-    private ErrorKind kind = ErrorKind.NO_UPSTREAM;
     private Optional<HttpAnswer> answer = Optional.empty();
 
     private Carriage(Request request) {
       this.request = request;
+      this.record = new AttemptRecord(request.route().repeatable(), request.route().maxAttempts());
     }
 
     private Outcome run() {
-      boolean more = true;
-      while (more) {
-        more = step();
+      boolean sent = true;
+      while (sent && record.maySend()) {
+        sent = step();
       }
-      return new Outcome(answer, kind, RETRY_AFTER_MS, ran, attempts, failures, engine);
+      return new Outcome(
+          answer,
+          record.kind(),
+          RETRY_AFTER_MS,
+          record.ran(),
+          record.attempts(),
+          record.failures(),
+          engine);
     }
 
-    /** Makes one attempt; returns whether to go on. */
+    /** Makes one attempt; returns whether the request was sent. */
     private boolean step() {
       long remaining = request.deadline() - clock.now();
       if (remaining < SHORTEST_ATTEMPT_MS) {
-        kind = maybeRun ? ErrorKind.UPSTREAM_SILENT : ErrorKind.DEADLINE_EXPIRED;
+        record.expired();
         return false;
       }
       if (request.cancellation().cancelled()) {
-        kind = maybeRun ? ErrorKind.UPSTREAM_LOST : ErrorKind.NO_UPSTREAM;
+        record.withdrawn();
         return false;
       }
       if (crashes.holds(request)) {
         logger.atInfo().log("request quarantined id=%s", request.id());
-        kind = maybeRun ? ErrorKind.UPSTREAM_LOST : ErrorKind.NO_UPSTREAM;
+        record.withdrawn();
         return false;
       }
       Optional<Picked> chosen = choose();
@@ -152,8 +155,8 @@
       }
       engine = chosen.get().engine().id();
       visited.add(engine);
-      boolean again = attempt(chosen.get(), remaining);
-      return again && attempts < request.route().maxAttempts() && refusals < MOST_REFUSALS;
+      attempt(chosen.get(), remaining);
+      return true;
     }
 
     /** Upstreams that were tried come again once all have been, after a pause. */
@@ -167,10 +170,10 @@
       return chosen;
     }
 
-    private boolean attempt(Picked chosen, long remaining) {
+    private void attempt(Picked chosen, long remaining) {
       Engine target = chosen.engine();
       PlatformInstance instance = chosen.instance();
-      attempts++;
+      record.sent();
       Attempt attempt =
           new Attempt(
               request.id(),
@@ -191,11 +194,11 @@
               .cancelledBy(request.cancellation());
       try {
         HttpAnswer got = sender.exchange(timed, attempt);
-        return judge(instance, got);
+        judge(instance, got);
       } catch (CallFailure e) {
         upstreams.failed(instance, clock.now());
         crashes.lost(request, target, e);
-        return lost(e);
+        lost(e);
       } catch (RuntimeException e) {
         upstreams.released(instance);
         throw e;
@@ -204,63 +207,49 @@
 
     /** A first attempt leaves time for a second one. */
     private long patience(long remaining) {
-      boolean last = attempts >= request.route().maxAttempts();
-      return last ? remaining : Math.min(remaining, Math.max(FIRST_ATTEMPT_MS, remaining / 2));
+      return record.last()
+          ? remaining
+          : Math.min(remaining, Math.max(FIRST_ATTEMPT_MS, remaining / 2));
     }
 
-    private boolean judge(PlatformInstance instance, HttpAnswer got) {
+    private void judge(PlatformInstance instance, HttpAnswer got) {
       UpstreamProtocol protocol = sender.protocol();
       if (protocol.notRun(got.status(), got.headers())) {
         upstreams.released(instance);
-        attempts--;
-        refusals++;
-        kind = maybeRun ? ErrorKind.UPSTREAM_LOST : ErrorKind.NO_UPSTREAM;
+        record.notRun();
         logger.atInfo().log(
             "attempt refused id=%s engine=%s status=%d refusals=%d",
-            request.id(), instance.getName(), got.status(), refusals);
-        return true;
+            request.id(), instance.getName(), got.status(), record.refusals());
+        return;
       }
-      ran = true;
-      maybeRun = true;
       crashes.survived(request);
-      if (got.status() == 500 && protocol.proof(got.headers()).isPresent()) {
-        failures++;
-      }
-      boolean good = got.successful() && protocol.proof(got.headers()).isPresent();
+      boolean proven = protocol.proof(got.headers()).isPresent();
       boolean final4xx = got.status() >= 400 && got.status() < 500;
-      if (good || final4xx) {
+      if ((got.successful() && proven) || final4xx) {
         upstreams.succeeded(instance);
+        record.answered();
         answer = Optional.of(got);
-        return false;
+        return;
       }
       upstreams.failed(instance, clock.now());
+      record.failed(got.status() == 500 && proven);
       logger.atInfo().log(
           "attempt failed id=%s engine=%s status=%d attempt=%d",
-          request.id(), instance.getName(), got.status(), attempts);
-      boolean relay = protocol.proof(got.headers()).isPresent() && !promises(got.status());
-      answer = relay && !got.successful() ? Optional.of(got) : Optional.empty();
-      kind = ErrorKind.UPSTREAM_LOST;
-      return request.route().repeatable();
+          request.id(), instance.getName(), got.status(), record.attempts());
+      boolean relay = proven && !promises(got.status()) && !got.successful();
+      answer = relay ? Optional.of(got) : Optional.empty();
     }
 
-    private boolean lost(CallFailure failure) {
-      boolean notSent = failure.sent() == CallFailure.Sent.NOT_SENT;
-      maybeRun |= !notSent;
+    private void lost(CallFailure failure) {
       answer = Optional.empty();
-      boolean silent = failure.reason() == CallFailure.Reason.SILENT;
-      if (maybeRun) {
-        kind = silent ? ErrorKind.UPSTREAM_SILENT : ErrorKind.UPSTREAM_LOST;
-      } else {
-        kind = ErrorKind.NO_UPSTREAM;
-      }
       logger.atInfo().log(
           "attempt lost id=%s engine=%s attempt=%d reason=%s sent=%s",
-          request.id(), engine, attempts, failure.reason(), failure.sent());
-      if (notSent) {
-        attempts--;
-        refusals++;
+          request.id(), engine, record.attempts(), failure.reason(), failure.sent());
+      if (failure.sent() == CallFailure.Sent.NOT_SENT) {
+        record.notRun();
+      } else {
+        record.lost(failure.reason() == CallFailure.Reason.SILENT);
       }
-      return notSent || request.route().repeatable();
     }
   }
 
--- a/server/src/main/java/org/marigoldmill/server/gateway/StreamCarrier.java
+++ b/server/src/main/java/org/marigoldmill/server/gateway/StreamCarrier.java
@@ -9,6 +9,7 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
+import org.marigoldmill.core.attempt.AttemptRecord;
 import org.marigoldmill.core.error.ErrorKind;
 import org.marigoldmill.core.placement.Engine;
 import org.marigoldmill.core.routing.UpstreamTable;
@@ -74,76 +75,72 @@
     return new Carriage(request, exchange).run();
   }
 
-  private enum Step {
-    AGAIN,
-    ENDED
-  }
-
   /** The attempts of one stream. */
   private final class Carriage {
     private final Forwarder.Request request;
     private final HttpServerExchange exchange;
     private final Set<String> visited = new HashSet<>();
     private OptionalLong lastEvent = OptionalLong.empty();
+    private final AttemptRecord record;
     private String engine = "";
-    private ErrorKind kind = ErrorKind.NO_UPSTREAM;
     private boolean begun;
     private boolean whole;
-    private boolean ran;
-    private boolean maybeRan;
 
     private Carriage(Forwarder.Request request, HttpServerExchange exchange) {
       this.request = request;
       this.exchange = exchange;
+      this.record = new AttemptRecord(request.route().repeatable(), request.route().maxAttempts());
     }
 
     private Outcome run() {
-      Step step = Step.AGAIN;
-      for (int sends = 0; step == Step.AGAIN && sends < sendsAllowed(); sends++) {
-        step = attempt();
+      boolean goesOn = true;
+      while (goesOn && record.maySend()) {
+        goesOn = attempt();
       }
       if (begun && !whole) {
         IoUtils.safeClose(exchange.getConnection());
       }
-      return new Outcome(begun, whole, ran, kind, engine);
-    }
-
-    private int sendsAllowed() {
-      return request.route().maxAttempts();
+      return new Outcome(begun, whole, record.ran(), record.kind(), engine);
     }
 
-    private Step attempt() {
+    /** Makes one attempt; returns whether the stream may go on with another. */
+    private boolean attempt() {
       long remaining = request.deadline() - clock.now();
-      if (remaining <= 0 || request.cancellation().cancelled()) {
-        kind = maybeRan ? ErrorKind.UPSTREAM_SILENT : ErrorKind.DEADLINE_EXPIRED;
-        return Step.ENDED;
+      if (remaining <= 0) {
+        record.expired();
+        return false;
+      }
+      if (request.cancellation().cancelled()) {
+        record.withdrawn();
+        return false;
       }
       Optional<Picked> chosen =
           picker
               .pick(request.service(), name -> !visited.contains(name))
               .or(() -> picker.pick(request.service(), name -> true));
       if (chosen.isEmpty()) {
-        return Step.ENDED;
+        return false;
       }
       PlatformInstance instance = chosen.get().instance();
       engine = chosen.get().engine().id();
       visited.add(engine);
+      record.sent();
       try {
-        Step step = send(chosen.get().engine(), remaining);
+        send(chosen.get().engine(), remaining);
         upstreams.succeeded(instance);
-        return step;
+        return true;
       } catch (CallFailure e) {
         upstreams.failed(instance, clock.now());
         return broken(e);
       } catch (IOException e) {
         upstreams.released(instance);
-        kind = ErrorKind.UPSTREAM_LOST;
+        record.lost(false);
         logger.atInfo().log("caller has left id=%s cause=%s", request.id(), e.getMessage());
-        return Step.ENDED;
+        return false;
       }
     }
 
-    private Step send(Engine target, long remaining) throws IOException {
+    private void send(Engine target, long remaining) throws IOException {
       Attempt attempt =
           new Attempt(
               request.id(),
@@ -165,19 +162,18 @@
               .cancelledBy(request.cancellation());
       try (HttpStream stream = sender.open(call, attempt)) {
         if (sender.protocol().notRun(stream.status(), stream.headers())) {
-          kind = maybeRan ? ErrorKind.UPSTREAM_LOST : ErrorKind.NO_UPSTREAM;
-          return Step.AGAIN;
+          record.notRun();
+          return;
         }
-        ran = true;
-        maybeRan = true;
         if (stream.status() != 200) {
-          kind = ErrorKind.UPSTREAM_LOST;
-          return request.route().repeatable() ? Step.AGAIN : Step.ENDED;
+          record.failed(stream.status() == 500);
+          return;
         }
+        record.began();
         begin(stream);
         relay(stream);
         whole = true;
-        return Step.ENDED;
+        record.answered();
       }
     }
 
@@ -213,29 +209,38 @@
       out.close();
     }
 
+    /** An event that came before is left out; one that is missing breaks the attempt off. */
     private void pass(EventSplitter.RawEvent event, OutputStream out) throws IOException {
-      boolean repeated =
-          event.id().isPresent()
-              && lastEvent.isPresent()
-              && event.id().getAsLong() <= lastEvent.getAsLong();
-      if (!repeated) {
+      if (event.id().isEmpty() || lastEvent.isEmpty()) {
         out.write(event.bytes());
         lastEvent = event.id().isPresent() ? event.id() : lastEvent;
+        return;
+      }
+      long next = lastEvent.getAsLong() + 1;
+      if (event.id().getAsLong() > next) {
+        throw new CallFailure(
+            CallFailure.Sent.MAYBE_RUN,
+            CallFailure.Reason.CUT,
+            "event " + event.id().getAsLong() + " instead of " + next + " from " + engine,
+            null);
+      }
+      if (event.id().getAsLong() == next) {
+        out.write(event.bytes());
+        lastEvent = event.id();
       }
     }
 
-    private Step broken(CallFailure failure) {
-      boolean notSent = failure.sent() == CallFailure.Sent.NOT_SENT;
-      maybeRan |= !notSent;
-      boolean silent = failure.reason() == CallFailure.Reason.SILENT;
-      if (maybeRan) {
-        kind = silent ? ErrorKind.UPSTREAM_SILENT : ErrorKind.UPSTREAM_LOST;
-      }
+    /** Returns whether the stream may go on: not begun, or begun and known up to an event. */
+    private boolean broken(CallFailure failure) {
       logger.atInfo().log(
           "stream broken id=%s engine=%s reason=%s last_event=%s",
           request.id(), engine, failure.reason(), lastEvent);
-      boolean resumable = request.route().repeatable() && (!begun || lastEvent.isPresent());
-      return notSent || resumable ? Step.AGAIN : Step.ENDED;
+      if (failure.sent() == CallFailure.Sent.NOT_SENT) {
+        record.notRun();
+      } else {
+        record.lost(failure.reason() == CallFailure.Reason.SILENT);
+      }
+      return !begun || lastEvent.isPresent();
     }
   }
 }
--- a/server/src/test/java/org/marigoldmill/server/store/FaultyStore.java
+++ b/server/src/test/java/org/marigoldmill/server/store/FaultyStore.java
@@ -4,6 +4,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Random;
 import org.marigoldmill.core.submission.KeyedRecord;
@@ -89,6 +90,11 @@
     first = log.size();
   }
 
+  /** Writes what another program writes, whose own faults don't matter here. */
+  public synchronized void put(String key, Optional<byte[]> value) {
+    store(OptionalLong.empty(), List.of(new KeyedRecord(key, value)));
+  }
+
   /** Returns everything that was ever stored. */
   public synchronized List<StoredRecord> all() {
     return List.copyOf(log);
@@ -116,7 +122,10 @@
     for (KeyedRecord keyed : records) {
       StoredRecord stored = new StoredRecord(log.size(), keyed.key(), keyed.value());
       log.add(stored);
-      newest.put(keyed.key(), stored);
+      newest.remove(keyed.key());
+      if (keyed.value().isPresent()) {
+        newest.put(keyed.key(), stored);
+      }
     }
     return new Appended(Outcome.STORED, offset);
   }
