An engine is kept in its latest life when the list is read again behind its end

Cause (DeploymentCacheFuzzTest, seen red first: "life of e4" 64 then 60): when the store drops its history and its reads lag, a process that reads the list of engines anew took an engine back to an earlier life, whose address and count of orders are no longer true. The registry now keeps the later life of an engine that the list still names.

--- a/server/src/main/java/org/marigoldmill/server/deployment/EngineRegistry.java
+++ b/server/src/main/java/org/marigoldmill/server/deployment/EngineRegistry.java
@@ -53,10 +53,12 @@
     changed = true;
   }
 
+  /** Of an engine that is known in a later life than the one loaded, the later one is kept. */
   @Override
   public void load(Runnable applyAll) {
     Map<String, Engine> before = Map.copyOf(engines);
     PartitionFollower.Sink.super.load(applyAll);
+    engines.replaceAll((id, engine) -> later(before.get(id), engine));
     String gone =
         before.keySet().stream()
             .filter(id -> !engines.containsKey(id))
@@ -114,6 +116,10 @@
     }
   }
 
+  private static Engine later(Engine before, Engine loaded) {
+    return before != null && before.incarnation() > loaded.incarnation() ? before : loaded;
+  }
+
   private static PlatformInstance instance(Engine engine) {
     return PlatformInstance.newBuilder()
         .setName(engine.id())
