--- a/cli/src/main/java/org/marigoldmill/cli/Main.java
+++ b/cli/src/main/java/org/marigoldmill/cli/Main.java
@@ -25,6 +25,7 @@
           new WithdrawCommand(),
           new ShowCommand(),
           new DrainCommand(),
+          new ExplainCommand(),
           new BenchCommand(),
           new VersionCommand());
 
