--- a/server/src/test/java/org/marigoldmill/server/store/FaultyStore.java
+++ b/server/src/test/java/org/marigoldmill/server/store/FaultyStore.java
@@ -64,7 +64,7 @@
       return new Read(true, first, log.size(), List.of());
     }
     int most = 1 + random.nextInt(5);
-    long end = Math.max(first, log.size() - behind);
+    long end = Math.max(first, (long) log.size() - behind);
     List<StoredRecord> records = log.stream().limit(end).skip(from).limit(most).toList();
     return new Read(false, first, end, records);
   }
@@ -74,7 +74,7 @@
     if (faulty()) {
       throw new StoreUnavailable("newest: fault of the test");
     }
-    long end = log.size() - Math.min(behind, log.size());
+    long end = Math.max(0, (long) log.size() - behind);
     runLate();
     return behind == 0
         ? new Newest(end, List.copyOf(newest.values()))
