--- a/cli/src/test/java/org/marigoldmill/cli/deployment/DeploymentIT.java
+++ b/cli/src/test/java/org/marigoldmill/cli/deployment/DeploymentIT.java
@@ -1,5 +1,6 @@
 package org.marigoldmill.cli.deployment;
 
+import static java.nio.charset.StandardCharsets.UTF_8;
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.marigoldmill.cli.deployment.DeploymentWorld.EVENTS;
 import static org.marigoldmill.cli.deployment.DeploymentWorld.ITEMS;
@@ -8,6 +9,11 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.IOException;
+import java.net.Socket;
+import java.net.URI;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.TreeMap;
 import java.util.TreeSet;
 import org.junit.jupiter.api.AfterEach;
@@ -169,6 +175,49 @@
       assertThat(stream.text()).isEqualTo(whole.toString());
     }
 
+    @Test
+    void should_cut_the_run_when_the_caller_has_left() throws IOException {
+      // GIVEN
+      URI caller = URI.create("http://" + world.instances.get(0).caller());
+      String head = "GET /gen/endless HTTP/1.1\r\nHost: h\r\nApi-Key: key\r\n";
+      try (Socket socket = new Socket(caller.getHost(), caller.getPort())) {
+        socket.getOutputStream().write((head + "X-Attempt-Id: left\r\n\r\n").getBytes(UTF_8));
+        DeploymentWorld.await(() -> world.engine.runs().contains("left"));
+        // WHEN: the connection is closed here
+      }
+      // THEN
+      DeploymentWorld.await(() -> world.engine.cut().contains("left"));
+    }
+
+    @Test
+    void should_run_no_more_when_a_request_has_crashed_several_upstreams() {
+      // GIVEN
+      List<EngineStandin> engines = new ArrayList<>();
+      for (int i = 0; i < 8; i++) {
+        EngineStandin engine = new EngineStandin("c-" + i, "", 0, 0);
+        engines.add(engine);
+        world.store.put("servers", "c-" + i, engine.entry("crash"));
+      }
+      DeploymentWorld.await(() -> world.call("/crash/x", "key").status() == 200);
+      // WHEN: it comes to either instance again and again
+      String held = "request quarantined";
+      for (int i = 0; i < 12; i++) {
+        String caller = world.instances.get(i % 2).caller();
+        world.ask(caller, "GET", "/crash/poison", "poison-" + i, "key");
+        DeploymentWorld.pause();
+      }
+      // THEN: two crashes decide; what is on its way meanwhile may make up to the six allowed
+      long crashed = engines.stream().filter(e -> e.runs().size() > served(e)).count();
+      assertThat(crashed).isBetween(2L, 6L);
+      world.instances.forEach(i -> assertThat(i.process().output()).contains(held));
+      assertThat(world.call("/crash/x", "key").status()).isEqualTo(200);
+      engines.forEach(EngineStandin::close);
+    }
+
+    private long served(EngineStandin engine) {
+      return engine.runs().stream().filter(r -> r.startsWith("call-")).count();
+    }
+
     @Test
     void should_refuse_a_key_when_a_later_configuration_has_withdrawn_it() {
       assertThat(world.call("/app/x", "other-key").status()).isEqualTo(200);
--- a/cli/src/test/java/org/marigoldmill/cli/deployment/DeploymentWorld.java
+++ b/cli/src/test/java/org/marigoldmill/cli/deployment/DeploymentWorld.java
@@ -33,6 +33,7 @@
 
   private static final long EVENT_MS = 100;
   private static final long AWAIT_MS = 40_000;
+  private static final long PAUSE_MS = 50;
   private static final AtomicInteger RUNS = new AtomicInteger();
 
   final StoreStandin store = new StoreStandin();
@@ -147,6 +148,7 @@
         .put("idle_timeout_ms", 10_000);
     ArrayNode routes = config.putArray("routes");
     route(routes, "/app/", "idempotent", "app").put("max_attempts", 2).put("slo_ms", 500);
+    route(routes, "/crash/", "idempotent", "crash").put("max_attempts", 2).put("slo_ms", 500);
     route(routes, "/batch/", "weight_rollout", "llm")
         .put("max_attempts", 3)
         .put("run_slo_ms", 7_500)
@@ -191,11 +193,15 @@
     long until = System.currentTimeMillis() + AWAIT_MS;
     while (!reached.getAsBoolean()) {
       assertThat(System.currentTimeMillis()).as("time to wait").isLessThan(until);
-      try {
-        Thread.sleep(50);
-      } catch (InterruptedException e) {
-        Thread.currentThread().interrupt();
-      }
+      pause();
+    }
+  }
+
+  static void pause() {
+    try {
+      Thread.sleep(PAUSE_MS);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
     }
   }
 }
--- a/cli/src/test/java/org/marigoldmill/cli/deployment/EngineStandin.java
+++ b/cli/src/test/java/org/marigoldmill/cli/deployment/EngineStandin.java
@@ -13,9 +13,11 @@
 import java.util.List;
 import java.util.Queue;
 import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
 import org.marigoldmill.http.HttpServer;
+import org.xnio.IoUtils;
 
 /** Small stand-in of an engine that streams events, takes orders and scores texts. */
 final class EngineStandin implements AutoCloseable {
@@ -34,6 +36,7 @@
   private final AtomicInteger accepted = new AtomicInteger();
   private final Queue<Order> orders = new ConcurrentLinkedQueue<>();
   private final Queue<String> runs = new ConcurrentLinkedQueue<>();
+  private final Queue<String> cut = new ConcurrentLinkedQueue<>();
   private final HttpServer server;
 
   EngineStandin(String id, String model, int events, long eventMs) {
@@ -79,6 +82,11 @@
     return List.copyOf(runs);
   }
 
+  /** Returns the ids of the requests whose answers were cut by the receiver. */
+  List<String> cut() {
+    return List.copyOf(cut);
+  }
+
   @Override
   public void close() {
     server.close();
@@ -99,8 +107,39 @@
       runs.add(request);
       head(exchange, "X-Attempt-Id", request);
       head(exchange, "X-Server-Seal", score(request));
+      run(exchange, path, request);
+    }
+  }
+
+  private void run(HttpServerExchange exchange, String path, String request) throws IOException {
+    if (path.endsWith("/poison")) {
+      crash(exchange);
+      return;
+    }
+    try {
       answer(exchange, path);
+    } catch (IOException e) {
+      cut.add(request);
+      throw e;
+    }
+  }
+
+  /** The whole engine ends with its connections, without an answer, as a crashed process does. */
+  private void crash(HttpServerExchange exchange) throws IOException {
+    CountDownLatch ended = new CountDownLatch(1);
+    new Thread(
+            () -> {
+              server.close();
+              IoUtils.safeClose(exchange.getConnection());
+              ended.countDown();
+            })
+        .start();
+    try {
+      ended.await();
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
     }
+    throw new IOException("crashed");
   }
 
   private void answer(HttpServerExchange exchange, String path) throws IOException {
@@ -113,7 +152,8 @@
     String last = exchange.getRequestHeaders().getFirst("Last-Event-Id");
     OutputStream out = exchange.getOutputStream();
     boolean breaks = path.endsWith("/broken") && last == null;
-    for (int i = last == null ? 1 : Integer.parseInt(last) + 1; i <= events; i++) {
+    int most = path.endsWith("/endless") ? Integer.MAX_VALUE : events;
+    for (int i = last == null ? 1 : Integer.parseInt(last) + 1; i <= most; i++) {
       if (breaks && i > 2) {
         out.write("id: 3\ndata: pie".getBytes(UTF_8));
         out.flush();
