Revert "Idle engines wait a moment for the step whose version has just been named"

Why it may not help: with the wait, all engines of a model reach the end of a step with the old version and load one after the other (one is always left out), so that the next step, which they cannot serve before, finds one of them loading or too old; without it, the first loads at the beginning and only the second at the end.

--- a/core/src/main/java/org/marigoldmill/core/weights/WeightPlan.java
+++ b/core/src/main/java/org/marigoldmill/core/weights/WeightPlan.java
@@ -9,16 +9,8 @@
  * <p>An engine that is too old for items that wait loads at once. An engine that they can still use
  * loads only while it runs nothing and nothing waits, because a load stops generation. Then one
  * engine of the share is left out, so that a step that comes meanwhile can start.
- *
- * <p>Right after a version has been named, its step is awaited first: a trainer that is behind asks
- * for it at once, and it should find all engines generating. They load once the step runs out.
  */
 public final class WeightPlan {
-  /**
-   * Time within which a trainer that is behind asks for its step after it has named the version, in
-   * milliseconds: one call to the store, one to an instance, and some slack.
-   */
-  public static final long STEP_SOON_MS = 250;
 
   /**
    * An engine in the share of the model.
@@ -38,22 +30,9 @@
    * @param strictest oldest version that every waiting item accepts; 0 when none waits
    * @param waiting items that wait for a place
    * @param singleVersion whether an item must not mix versions
-   * @param sinceNamedMs time since the newest version was named, in milliseconds
-   * @param stepCame whether a step has come since then
    */
   public record Demand(
-      String model,
-      long newestVersion,
-      long strictest,
-      int waiting,
-      boolean singleVersion,
-      long sinceNamedMs,
-      boolean stepCame) {
-
-    private boolean stepExpected() {
-      return !stepCame && sinceNamedMs < STEP_SOON_MS;
-    }
-  }
+      String model, long newestVersion, long strictest, int waiting, boolean singleVersion) {}
 
   /**
    * A load that is wanted.
@@ -85,7 +64,7 @@
             .filter(p -> demand.waiting() > 0 && p.version() < demand.strictest())
             .map(p -> load(p, demand, true))
             .toList();
-    if (!urgent.isEmpty() || demand.waiting() > 0 || demand.stepExpected()) {
+    if (!urgent.isEmpty() || demand.waiting() > 0) {
       return urgent;
     }
     long available = places.stream().filter(p -> !p.loading()).count();
--- a/core/src/test/java/org/marigoldmill/core/weights/WeightPlanTest.java
+++ b/core/src/test/java/org/marigoldmill/core/weights/WeightPlanTest.java
@@ -31,26 +31,6 @@
           .containsExactly("a");
     }
 
-    @Test
-    void should_wait_for_the_step_when_its_version_has_just_been_named() {
-      // GIVEN
-      List<WeightPlan.Place> idle = List.of(place("a", 4, 0), place("b", 4, 0));
-      // THEN
-      assertThat(WeightPlan.wanted(idle, named(10, false))).isEmpty();
-      assertThat(WeightPlan.wanted(idle, named(10, true))).hasSize(1);
-      assertThat(WeightPlan.wanted(idle, named(WeightPlan.STEP_SOON_MS, false))).hasSize(1);
-    }
-
-    @Test
-    void should_not_wait_when_items_cannot_run_before_the_load() {
-      WeightPlan.Demand demand = new WeightPlan.Demand(MODEL, 5, 5, 1, false, 0, false);
-      assertThat(WeightPlan.wanted(List.of(place("a", 4, 0)), demand)).hasSize(1);
-    }
-
-    private WeightPlan.Demand named(long sinceMs, boolean stepCame) {
-      return new WeightPlan.Demand(MODEL, 5, 0, 0, false, sinceMs, stepCame);
-    }
-
     @Test
     void should_load_the_only_engine_when_nothing_waits() {
       assertThat(WeightPlan.wanted(List.of(place("a", 4, 0)), demand(5, 0, 0))).hasSize(1);
@@ -63,7 +43,7 @@
 
     @Test
     void should_let_runs_finish_first_when_an_item_must_not_mix_versions() {
-      WeightPlan.Demand single = new WeightPlan.Demand(MODEL, 5, 5, 1, true, 0, true);
+      WeightPlan.Demand single = new WeightPlan.Demand(MODEL, 5, 5, 1, true);
       assertThat(WeightPlan.wanted(List.of(place("a", 4, 1)), single))
           .containsExactly(new WeightPlan.Load("a", MODEL, 5, true, false));
     }
@@ -122,6 +102,6 @@
   }
 
   private static WeightPlan.Demand demand(long newest, long strictest, int waiting) {
-    return new WeightPlan.Demand(MODEL, newest, strictest, waiting, false, 0, true);
+    return new WeightPlan.Demand(MODEL, newest, strictest, waiting, false);
   }
 }
--- a/server/src/main/java/org/marigoldmill/server/batch/ModelShares.java
+++ b/server/src/main/java/org/marigoldmill/server/batch/ModelShares.java
@@ -35,7 +35,10 @@
    * @return engines by model
    */
   public Map<String, List<Engine>> current() {
-    Map<String, Submission> newest = newest();
+    Map<String, Submission> newest = new HashMap<>();
+    partitions
+        .heads()
+        .forEach(h -> newest.merge(h.getModel(), h, (a, b) -> NEWEST.compare(a, b) > 0 ? a : b));
     Map<String, List<Engine>> shares = new HashMap<>();
     List<DeploymentConfig.Service> services =
         deployment.config().map(DeploymentConfig::services).orElse(List.of());
@@ -43,15 +46,6 @@
     return shares;
   }
 
-  /** Returns the newest submission of each model. */
-  Map<String, Submission> newest() {
-    Map<String, Submission> newest = new HashMap<>();
-    partitions
-        .heads()
-        .forEach(h -> newest.merge(h.getModel(), h, (a, b) -> NEWEST.compare(a, b) > 0 ? a : b));
-    return newest;
-  }
-
   private void divide(
       DeploymentConfig.Service service,
       Map<String, Submission> newest,
--- a/server/src/main/java/org/marigoldmill/server/batch/WeightPlanner.java
+++ b/server/src/main/java/org/marigoldmill/server/batch/WeightPlanner.java
@@ -4,12 +4,10 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
 import org.marigoldmill.core.placement.Engine;
 import org.marigoldmill.core.placement.EngineLoads;
 import org.marigoldmill.core.weights.EngineVersions;
 import org.marigoldmill.core.weights.WeightPlan;
-import org.marigoldmill.schema.submission.Submission;
 import org.marigoldmill.server.Clock;
 import org.marigoldmill.server.deployment.DeploymentState;
 import org.marigoldmill.server.duty.FleetLog;
@@ -54,34 +52,17 @@
   void runRound() {
     long now = clock.now();
     toldAt.values().removeIf(at -> now - at >= REPEAT_MS);
-    Map<String, Submission> newest = shares.newest();
     shares
         .current()
         .forEach(
-            (model, engines) ->
-                deployment
-                    .named(model)
-                    .filter(named -> membership.owns(model))
-                    .ifPresent(named -> plan(demand(model, named, newest), engines, now)));
-  }
-
-  private WeightPlan.Demand demand(
-      String model, DeploymentState.Named named, Map<String, Submission> newest) {
-    RolloutScheduler.Backlog backlog = scheduler.backlog(model);
-    long lastStepAt =
-        Optional.ofNullable(newest.get(model)).map(Submission::getAcceptedAtMs).orElse(0L);
-    return new WeightPlan.Demand(
-        model,
-        named.version(),
-        backlog.strictest(),
-        backlog.waiting(),
-        backlog.singleVersion(),
-        System.currentTimeMillis() - named.readAtUnixMs(),
-        lastStepAt >= named.readAtUnixMs());
+            (model, engines) -> {
+              if (membership.owns(model) && deployment.namedVersion(model) > 0) {
+                plan(model, engines, now);
+              }
+            });
   }
 
-  private void plan(WeightPlan.Demand demand, List<Engine> engines, long now) {
-    String model = demand.model();
+  private void plan(String model, List<Engine> engines, long now) {
     List<WeightPlan.Place> places =
         engines.stream()
             .map(
@@ -92,6 +73,14 @@
                         versions.loading(e.id(), model, now),
                         loads.running(e.id())))
             .toList();
+    RolloutScheduler.Backlog backlog = scheduler.backlog(model);
+    WeightPlan.Demand demand =
+        new WeightPlan.Demand(
+            model,
+            deployment.namedVersion(model),
+            backlog.strictest(),
+            backlog.waiting(),
+            backlog.singleVersion());
     WeightPlan.wanted(places, demand).stream()
         .filter(l -> !toldAt.containsKey(l))
         .forEach(l -> tell(l, engines, demand, places, now));
--- a/server/src/main/java/org/marigoldmill/server/deployment/DeploymentState.java
+++ b/server/src/main/java/org/marigoldmill/server/deployment/DeploymentState.java
@@ -16,18 +16,10 @@
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
 
   private final DeploymentCodec codec;
-  private final Map<String, Named> named = new ConcurrentHashMap<>();
+  private final Map<String, Long> namedVersions = new ConcurrentHashMap<>();
   private final List<Consumer<DeploymentConfig>> listeners = new CopyOnWriteArrayList<>();
   private volatile Optional<DeploymentConfig> config = Optional.empty();
 
-  /**
-   * A version of a model's weights that its trainer wants.
-   *
-   * @param version number of the version
-   * @param readAtUnixMs when this process read it, in Unix milliseconds
-   */
-  public record Named(long version, long readAtUnixMs) {}
-
   /** Creates the state before any record. */
   public DeploymentState(DeploymentCodec codec) {
     this.codec = codec;
@@ -43,9 +35,9 @@
     return config;
   }
 
-  /** Returns the newest version named for a model. */
-  public Optional<Named> named(String model) {
-    return Optional.ofNullable(named.get(model));
+  /** Returns the newest version named for a model, or 0. */
+  public long namedVersion(String model) {
+    return namedVersions.getOrDefault(model, 0L);
   }
 
   /** Keeps what is known; records that are read again only confirm it. */
@@ -73,13 +65,9 @@
     listeners.forEach(l -> l.accept(read));
   }
 
-  private void name(DeploymentCodec.NamedVersion told) {
-    Named read = new Named(told.version(), System.currentTimeMillis());
-    Named newest =
-        named.merge(
-            told.model(), read, (old, fresh) -> old.version() < fresh.version() ? fresh : old);
+  private void name(DeploymentCodec.NamedVersion named) {
+    Long before = namedVersions.merge(named.model(), named.version(), Math::max);
     logger.atInfo().log(
-        "weights named model=%s version=%d newest=%d",
-        told.model(), told.version(), newest.version());
+        "weights named model=%s version=%d newest=%d", named.model(), named.version(), before);
   }
 }
--- a/server/src/test/java/org/marigoldmill/server/deployment/DeploymentCacheFuzzTest.java
+++ b/server/src/test/java/org/marigoldmill/server/deployment/DeploymentCacheFuzzTest.java
@@ -92,17 +92,13 @@
       engines = new PartitionFollower(engineLog, REGISTRY, 0, 0, 0, registry, System::nanoTime);
     }
 
-    private long namedVersion() {
-      return state.named("m").map(DeploymentState.Named::version).orElse(0L);
-    }
-
     private boolean read() {
       boolean all = operator.catchUp() && engines.catchUp();
       long present = state.config().map(DeploymentConfig::version).orElse(0L);
       assertThat(present).as("version of the configuration").isGreaterThanOrEqualTo(config);
-      assertThat(namedVersion()).as("named version").isGreaterThanOrEqualTo(named);
+      assertThat(state.namedVersion("m")).as("named version").isGreaterThanOrEqualTo(named);
       config = present;
-      named = namedVersion();
+      named = state.namedVersion("m");
       lives.keySet().removeIf(id -> registry.engine(id).isEmpty());
       for (Engine engine : registry.of("s")) {
         Long before = lives.put(engine.id(), engine.incarnation());
