Tests: all instances killed, and a store that is away

RECOVER: a submission goes on from what the store holds after every instance was killed, and shown results stay. LOST: with the store away no submission is told as absent (503, never 404 or an empty page for sure), a new one is refused at once, plain calls go on.

--- a/cli/src/test/java/org/marigoldmill/cli/deployment/DeploymentIT.java
+++ b/cli/src/test/java/org/marigoldmill/cli/deployment/DeploymentIT.java
@@ -68,6 +68,50 @@
           });
     }
 
+    @Test
+    void should_go_on_when_all_instances_were_killed() {
+      // GIVEN
+      assertThat(world.post(0, "/batch/s6", "s6", DeploymentWorld.submission()).status())
+          .isEqualTo(202);
+      DeploymentWorld.await(() -> world.results(0, "s6", 0).get("next").asInt() > 0);
+      final JsonNode seen = world.results(0, "s6", 0).get("results");
+      // WHEN
+      world.killInstances();
+      world.startInstances("three", "four");
+      // THEN
+      DeploymentWorld.await(() -> world.results(0, "s6", 0).get("next").asInt() == ITEMS);
+      JsonNode all = world.results(1, "s6", 0).get("results");
+      for (int i = 0; i < seen.size(); i++) {
+        assertThat(all.get(i)).isEqualTo(seen.get(i));
+      }
+      assertThat(all).extracting(r -> r.get("id").asText()).doesNotHaveDuplicates();
+    }
+
+    @Test
+    void should_deny_no_submission_when_the_store_is_away() {
+      // GIVEN
+      assertThat(world.post(0, "/batch/s7", "s7", DeploymentWorld.submission()).status())
+          .isEqualTo(202);
+      DeploymentWorld.await(() -> world.results(0, "s7", 0).get("next").asInt() == ITEMS);
+      // WHEN
+      world.store.away(true);
+      DeploymentWorld.await(() -> !world.ready(world.instances.get(0)));
+      // THEN: what is known is shown, and what is not known is not told as absent
+      assertThat(world.ask(0, "GET", "/-/lots/s7?after=0").status()).isIn(200, 503);
+      assertThat(world.ask(0, "GET", "/-/lots/s7?after=" + ITEMS).status()).isIn(200, 503);
+      assertThat(world.ask(0, "GET", "/-/lots/unknown?after=0").status()).isEqualTo(503);
+      assertThat(world.post(0, "/batch/s8", "s8", DeploymentWorld.submission()).status())
+          .isEqualTo(503);
+      assertThat(world.call("/app/x", "key").status()).isEqualTo(200);
+      // WHEN
+      world.store.away(false);
+      // THEN
+      DeploymentWorld.await(() -> world.ready(world.instances.get(0)));
+      DeploymentWorld.await(() -> world.ask(0, "GET", "/-/lots/unknown?after=0").status() == 404);
+      assertThat(world.results(0, "s7", 0).get("next").asInt()).isEqualTo(ITEMS);
+      assertThat(world.ask(0, "GET", "/-/lots/s8?after=0").status()).isEqualTo(404);
+    }
+
     @Test
     void should_run_no_more_items_when_the_submission_has_ended() {
       // GIVEN
--- a/cli/src/test/java/org/marigoldmill/cli/deployment/DeploymentWorld.java
+++ b/cli/src/test/java/org/marigoldmill/cli/deployment/DeploymentWorld.java
@@ -40,6 +40,8 @@
   final EngineStandin engine = new EngineStandin("e-1", "m", EVENTS, EVENT_MS);
   final EngineStandin plain = new EngineStandin("p-1", "", 0, 0);
   final List<DeploymentProcess> instances = new ArrayList<>();
+  private final Path directory =
+      Path.of(System.getProperty("marigoldmill.work"), "deployment-" + RUNS.incrementAndGet());
   private final HttpClient client = HttpClient.create("callers", 1);
 
   DeploymentWorld() {
@@ -47,12 +49,15 @@
     store.put("servers", "e-1", engine.entry("llm"));
     store.put("servers", "p-1", plain.entry("app"));
     store.put("servers", "odd", MAPPER.createObjectNode().put("state", 7));
+    startInstances("one", "two");
+  }
+
+  /** Starts instances and waits until they are ready. */
+  void startInstances(String... names) {
     // Test classes run at the same time, so each world has files of its own.
-    Path directory =
-        Path.of(System.getProperty("marigoldmill.work"), "deployment-" + RUNS.incrementAndGet());
     try {
       Files.createDirectories(directory);
-      for (String name : List.of("one", "two")) {
+      for (String name : names) {
         instances.add(DeploymentProcess.start(name, directory, store.address()));
       }
     } catch (IOException e) {
@@ -61,9 +66,15 @@
     instances.forEach(i -> await(() -> ready(i)));
   }
 
+  /** Kills every instance. */
+  void killInstances() {
+    instances.forEach(DeploymentProcess::kill);
+    instances.clear();
+  }
+
   @Override
   public void close() {
-    instances.forEach(DeploymentProcess::kill);
+    killInstances();
     client.close();
     engine.close();
     plain.close();
--- a/cli/src/test/java/org/marigoldmill/cli/deployment/StoreStandin.java
+++ b/cli/src/test/java/org/marigoldmill/cli/deployment/StoreStandin.java
@@ -31,19 +31,36 @@
   private final HttpServer server;
   private List<String> memberNames = List.of();
   private long generation;
+  private volatile boolean away;
 
   StoreStandin() {
     server =
         HttpServer.on("127.0.0.1:0")
             .workers(WORKERS)
-            .post("/-/log-append", this::append)
-            .get("/-/log-read", this::read)
-            .get("/-/log-newest", this::newest)
-            .post("/-/log-join", this::join)
-            .post("/-/log-leave", this::leave)
+            .post("/-/log-append", unlessAway(this::append))
+            .get("/-/log-read", unlessAway(this::read))
+            .get("/-/log-newest", unlessAway(this::newest))
+            .post("/-/log-join", unlessAway(this::join))
+            .post("/-/log-leave", unlessAway(this::leave))
             .start();
   }
 
+  /** Lets the store refuse every call, reads that wait included, or serve again. */
+  synchronized void away(boolean now) {
+    away = now;
+    notifyAll();
+  }
+
+  private HttpServer.Route unlessAway(HttpServer.Route route) {
+    return question -> {
+      if (away) {
+        return new HttpAnswer(503, List.of(), new byte[0]);
+      }
+      HttpAnswer answer = route.answer(question);
+      return away ? new HttpAnswer(503, List.of(), new byte[0]) : answer;
+    };
+  }
+
   String address() {
     return server.address();
   }
@@ -86,7 +103,7 @@
     long until = System.currentTimeMillis() + question.number("wait_ms", 0);
     try {
       for (long left = until - System.currentTimeMillis();
-          log.size() <= from && left > 0;
+          log.size() <= from && left > 0 && !away;
           left = until - System.currentTimeMillis()) {
         wait(left);
       }
