`marigoldmill emulate SCENARIO`: trainers and engines in virtual time over the product's policies

EmulatorTest: 5 cases, with the gain of loading ahead as a test. Not done: calibration on more than the time of an event, reward calls, callers' requests, plots.

--- /dev/null
+++ b/bench/src/main/java/org/marigoldmill/bench/emulator/Emulator.java
@@ -0,0 +1,347 @@
+package org.marigoldmill.bench.emulator;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.Set;
+import java.util.stream.Collectors;
+import org.marigoldmill.core.placement.Engine;
+import org.marigoldmill.core.placement.EngineLoads;
+import org.marigoldmill.core.placement.EngineShares;
+import org.marigoldmill.core.placement.MovePolicy;
+import org.marigoldmill.core.weights.EngineVersions;
+import org.marigoldmill.core.weights.LoadQueue;
+import org.marigoldmill.core.weights.WeightPlan;
+import org.marigoldmill.schema.settings.EmulatorScenario;
+
+/**
+ * Plays a scenario in virtual time over the policies that instances use.
+ *
+ * <pre>{@code
+ * EmulatorResult result = Emulator.play(scenario, 1, "product");
+ * }</pre>
+ *
+ * <p>Simplified: instances agree at once, calls take no time but the scenario's, reward calls and
+ * callers' requests are left out, groups that were not complete don't come again.
+ */
+public final class Emulator {
+  private static final long TICK_MS = 5;
+
+  /** Rounds of the scheduler, of moves and of weights come as often as in an instance. */
+  private static final long START_MS = 40;
+
+  private static final long MOVE_MS = 200;
+  private static final long WEIGHTS_MS = 50;
+  private static final String ZONE = "z";
+  private static final String SERVICE = "s";
+
+  private static final Comparator<EmulatedItem> START_ORDER =
+      Comparator.comparingLong((EmulatedItem i) -> i.step().askedAt())
+          .thenComparing(Comparator.comparingInt(EmulatedItem::expectedEvents).reversed())
+          .thenComparing(EmulatedItem::id);
+
+  private final EmulatorScenario scenario;
+  private final WeightPolicy policy;
+  private final Map<String, EmulatedEngine> engines = new LinkedHashMap<>();
+  private final List<EmulatedTrainer> trainers = new ArrayList<>();
+  private final Map<String, EngineLoads> loads = new HashMap<>();
+  private final EngineVersions versions = new EngineVersions();
+  private final LoadQueue queue;
+  private final Map<String, Long> progressAt = new HashMap<>();
+  private int lives;
+  private int loadsDone;
+  private int moves;
+
+  private Emulator(EmulatorScenario scenario, long seed, WeightPolicy policy) {
+    this.scenario = scenario;
+    this.policy = policy;
+    this.queue = new LoadQueue(scenario.getParallelLoads());
+    for (int i = 0; i < scenario.getEngines(); i++) {
+      addEngine();
+    }
+    for (int i = 0; i < scenario.getModels(); i++) {
+      String model = "m" + i;
+      trainers.add(new EmulatedTrainer(model, scenario, new Random(seed * 31 + i)));
+      loads.put(model, new EngineLoads());
+    }
+  }
+
+  /** Returns the names of the policies that can be compared. */
+  public static Set<String> policies() {
+    return WeightPolicy.byName().keySet();
+  }
+
+  /**
+   * Plays a scenario.
+   *
+   * @param scenario engines, trainers and faults
+   * @param seed seed of the items' lengths
+   * @param policy one of {@link #policies()}
+   * @return what became of it
+   */
+  public static EmulatorResult play(EmulatorScenario scenario, long seed, String policy) {
+    WeightPolicy chosen = WeightPolicy.byName().get(policy);
+    if (chosen == null) {
+      throw new IllegalArgumentException(
+          "policy: expected one of " + policies() + " but was " + policy);
+    }
+    return new Emulator(scenario, seed, chosen).run();
+  }
+
+  private EmulatorResult run() {
+    long end = scenario.getLengthMs() + scenario.getGiveUpMs();
+    for (long now = 0; now < end; now += TICK_MS) {
+      disturb(now);
+      generate(now);
+      act(now);
+    }
+    return new EmulatorResult(
+        trainers.stream().map(EmulatedTrainer::earned).toList(), loadsDone, moves);
+  }
+
+  private void act(long now) {
+    for (EmulatedTrainer trainer : trainers) {
+      trainer.act(now);
+    }
+    dropEnded();
+    if (now % WEIGHTS_MS == 0) {
+      plan(now);
+      order(now);
+    }
+    if (now % START_MS == 0) {
+      start(now);
+    }
+    if (now % MOVE_MS == 0) {
+      move(now);
+    }
+  }
+
+  private void addEngine() {
+    EmulatedEngine engine = new EmulatedEngine("e" + lives++, scenario);
+    engines.put(engine.id(), engine);
+  }
+
+  /** Turns engines slow, takes some away, and brings others in their place. */
+  private void disturb(long now) {
+    if (now == scenario.getSlowFromMs()) {
+      first(scenario.getSlowEngines()).forEach(e -> e.slow(scenario.getSlowFactor()));
+    }
+    if (now == scenario.getSlowFromMs() + scenario.getSlowForMs()) {
+      engines.values().forEach(e -> e.slow(1));
+    }
+    if (now == scenario.getGoneFromMs()) {
+      first(scenario.getGoneEngines()).forEach(this::remove);
+    }
+    if (now == scenario.getGoneFromMs() + scenario.getGoneForMs()) {
+      for (int i = 0; i < scenario.getGoneEngines(); i++) {
+        addEngine();
+      }
+    }
+  }
+
+  private List<EmulatedEngine> first(int count) {
+    return engines.values().stream().limit(count).toList();
+  }
+
+  private void remove(EmulatedEngine engine) {
+    List.copyOf(engine.running()).forEach(i -> stop(engine, i));
+    engines.remove(engine.id());
+    versions.forget(engine.id());
+  }
+
+  private void stop(EmulatedEngine engine, EmulatedItem item) {
+    engine.stop(item);
+    loads.get(item.step().model()).release(engine.id());
+  }
+
+  private void generate(long now) {
+    long loading = engines.values().stream().filter(EmulatedEngine::loading).count();
+    double loadSpeed = Math.min(1, (double) scenario.getParallelLoads() / Math.max(1, loading));
+    for (EmulatedEngine engine : engines.values()) {
+      if (engine.loading()) {
+        engine.carryLoadOn(TICK_MS * loadSpeed);
+      } else {
+        double eventMs = engine.eventMs();
+        List.copyOf(engine.running()).forEach(i -> advance(engine, i, now, eventMs));
+      }
+    }
+  }
+
+  private void advance(EmulatedEngine engine, EmulatedItem item, long now, double eventMs) {
+    int events = item.generate(now, TICK_MS, eventMs);
+    if (events > 0) {
+      Long last = progressAt.put(item.id(), now);
+      if (last != null && now - last < scenario.getLoadMs()) {
+        double took = Math.max(1.0, (double) (now - last) / events);
+        loads.get(item.step().model()).progressed(engine.id(), took);
+      }
+      versions.seen(engine.id(), item.step().model(), engine.version(item.step().model()));
+    }
+    if (item.done()) {
+      stop(engine, item);
+      item.step().finished(item, now);
+    }
+  }
+
+  private void dropEnded() {
+    for (EmulatedEngine engine : engines.values()) {
+      List.copyOf(engine.running()).stream()
+          .filter(i -> i.step().ended())
+          .forEach(i -> stop(engine, i));
+    }
+  }
+
+  private Map<String, List<Engine>> shares() {
+    Map<String, Double> demand =
+        trainers.stream().collect(Collectors.toMap(EmulatedTrainer::model, t -> 1.0));
+    EngineShares shares = EngineShares.divide(engines.keySet(), demand);
+    Map<String, List<Engine>> byModel = new LinkedHashMap<>();
+    for (EmulatedTrainer trainer : trainers) {
+      byModel.put(
+          trainer.model(),
+          engines.keySet().stream()
+              .filter(shares.engines(trainer.model())::contains)
+              .map(this::described)
+              .toList());
+    }
+    return byModel;
+  }
+
+  private Engine described(String id) {
+    return new Engine(
+        id, 1, SERVICE, "127.0.0.1:1", ZONE, scenario.getSlots(), false, false, Map.of());
+  }
+
+  private List<EmulatedItem> waiting(EmulatedTrainer trainer) {
+    return trainer.open().stream()
+        .flatMap(s -> s.items().stream())
+        .filter(i -> !i.running() && !i.done())
+        .sorted(START_ORDER)
+        .toList();
+  }
+
+  private void start(long now) {
+    Map<String, List<Engine>> shares = shares();
+    for (EmulatedTrainer trainer : trainers) {
+      EngineLoads placed = loads.get(trainer.model());
+      for (EmulatedItem item : waiting(trainer)) {
+        List<Engine> suitable =
+            shares.get(trainer.model()).stream()
+                .filter(e -> suits(e, item.step().model(), item.step().minVersion(), now))
+                .toList();
+        placed.acquire(suitable, ZONE, now).ifPresent(e -> launch(e, item, placed, now));
+      }
+    }
+  }
+
+  private boolean suits(Engine engine, String model, long minVersion, long now) {
+    versions.seen(engine.id(), model, 1);
+    return !versions.loading(engine.id(), model, now)
+        && versions.version(engine.id(), model, now) >= minVersion;
+  }
+
+  private void launch(Engine chosen, EmulatedItem item, EngineLoads placed, long now) {
+    EmulatedEngine engine = engines.get(chosen.id());
+    if (engine.takes(item)) {
+      engine.start(item, now);
+    } else {
+      placed.release(chosen.id());
+      placed.refused(chosen.id(), now);
+    }
+  }
+
+  private void move(long now) {
+    Map<String, List<Engine>> shares = shares();
+    for (EmulatedTrainer trainer : trainers) {
+      if (waiting(trainer).isEmpty() && trainer.open().isPresent()) {
+        move(trainer, shares.get(trainer.model()), now);
+      }
+    }
+  }
+
+  private void move(EmulatedTrainer trainer, List<Engine> share, long now) {
+    String model = trainer.model();
+    long min = trainer.open().orElseThrow().minVersion();
+    EngineLoads placed = loads.get(model);
+    List<EmulatedItem> running =
+        engines.values().stream()
+            .flatMap(e -> e.running().stream())
+            .filter(i -> i.step().model().equals(model))
+            .toList();
+    List<MovePolicy.Room> rooms =
+        share.stream()
+            .filter(e -> suits(e, model, min, now))
+            .map(
+                e ->
+                    new MovePolicy.Room(
+                        e.id(), placed.msPerEvent(e.id()), e.slots() - placed.running(e.id())))
+            .toList();
+    List<MovePolicy.Run> runs =
+        running.stream()
+            .map(i -> new MovePolicy.Run(i.id(), i.engine(), i.startedAt(), i.expectedEvents()))
+            .toList();
+    Map<String, Double> speeds =
+        running.stream()
+            .map(EmulatedItem::engine)
+            .distinct()
+            .collect(Collectors.toMap(e -> e, placed::msPerEvent));
+    Set<String> due = Set.copyOf(MovePolicy.due(runs, speeds, rooms, now));
+    running.stream()
+        .filter(i -> due.contains(i.id()))
+        .forEach(
+            i -> {
+              stop(engines.get(i.engine()), i);
+              moves++;
+            });
+  }
+
+  private void plan(long now) {
+    Map<String, List<Engine>> shares = shares();
+    for (EmulatedTrainer trainer : trainers) {
+      String model = trainer.model();
+      List<WeightPlan.Place> places =
+          shares.get(model).stream().map(e -> place(e.id(), model, now)).toList();
+      List<EmulatedItem> waiting = waiting(trainer);
+      long strictest = waiting.stream().mapToLong(i -> i.step().minVersion()).max().orElse(0);
+      WeightPlan.Demand demand =
+          new WeightPlan.Demand(model, trainer.named(), strictest, waiting.size(), false);
+      boolean stepCame = trainer.last().filter(s -> s.askedAt() >= trainer.namedAt()).isPresent();
+      WeightPolicy.Moment moment =
+          new WeightPolicy.Moment(now - trainer.namedAt(), stepCame, trainer.nextMinVersion());
+      policy.wanted(places, demand, moment).forEach(l -> queue.wish(l, now));
+    }
+  }
+
+  private WeightPlan.Place place(String engine, String model, long now) {
+    versions.seen(engine, model, 1);
+    return new WeightPlan.Place(
+        engine,
+        versions.target(engine, model, now),
+        versions.loading(engine, model, now),
+        loads.get(model).running(engine));
+  }
+
+  /** Gives the orders that may start, unless none can be given now. */
+  private void order(long now) {
+    boolean away =
+        now >= scenario.getNoOrdersFromMs()
+            && now < scenario.getNoOrdersFromMs() + scenario.getNoOrdersForMs();
+    if (away) {
+      return;
+    }
+    for (WeightPlan.Load load : queue.startable(versions.loading(now), now)) {
+      EmulatedEngine engine = engines.get(load.engine());
+      queue.done(load);
+      if (engine == null || engine.loading() || engine.version(load.model()) >= load.version()) {
+        continue;
+      }
+      engine.load(load.model(), load.version());
+      versions.ordered(load.engine(), load.model(), load.version(), now);
+      loadsDone++;
+    }
+  }
+}
--- /dev/null
+++ b/bench/src/test/java/org/marigoldmill/bench/emulator/EmulatorTest.java
@@ -0,0 +1,72 @@
+package org.marigoldmill.bench.emulator;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+import java.util.function.Consumer;
+import java.util.stream.LongStream;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.marigoldmill.core.rules.RuleChecker;
+import org.marigoldmill.schema.settings.EmulatorScenario;
+
+class EmulatorTest {
+  private static final int SEEDS = 10;
+
+  private static EmulatorScenario scenario(Consumer<EmulatorScenario.Builder> change) {
+    EmulatorScenario.Builder builder = EmulatorScenario.newBuilder();
+    change.accept(builder);
+    return (EmulatorScenario) RuleChecker.withDefaults(builder.build());
+  }
+
+  private static double worth(EmulatorScenario scenario, String policy) {
+    return LongStream.range(0, SEEDS)
+        .mapToDouble(s -> Emulator.play(scenario, s, policy).worth())
+        .average()
+        .orElseThrow();
+  }
+
+  @Nested
+  class Play {
+    @Test
+    void should_give_the_same_result_when_the_seed_is_the_same() {
+      EmulatorScenario scenario = scenario(s -> s.setSlowEngines(1));
+      assertThat(Emulator.play(scenario, 7, "product"))
+          .isEqualTo(Emulator.play(scenario, 7, "product"));
+    }
+
+    @Test
+    void should_earn_everything_when_engines_have_ample_room() {
+      EmulatorScenario ample = scenario(s -> s.setGroups(2).setEngines(12).setEventsMax(40));
+      assertThat(worth(ample, "product")).isEqualTo(1);
+    }
+
+    @Test
+    void should_earn_less_when_engines_turn_slow_or_are_taken_away() {
+      double whole = worth(scenario(s -> s.setGroups(9)), "product");
+      double slow =
+          worth(scenario(s -> s.setGroups(9).setSlowEngines(3).setSlowFactor(6)), "product");
+      double fewer = worth(scenario(s -> s.setGroups(9).setGoneEngines(3)), "product");
+      assertThat(slow).isLessThan(whole);
+      assertThat(fewer).isLessThan(whole);
+    }
+
+    @Test
+    void should_refuse_a_policy_when_it_is_unknown() {
+      assertThatThrownBy(() -> Emulator.play(scenario(s -> {}), 1, "none"))
+          .isInstanceOf(IllegalArgumentException.class)
+          .hasMessageContaining("product");
+    }
+  }
+
+  @Nested
+  class Policies {
+    @Test
+    void should_serve_trainers_better_when_idle_engines_load_ahead() {
+      EmulatorScenario calm = scenario(s -> s.setGroups(5));
+      EmulatorScenario heavy = scenario(s -> s.setGroups(9));
+      assertThat(worth(calm, "product")).isGreaterThan(worth(calm, "urgent-only"));
+      assertThat(worth(heavy, "product")).isGreaterThan(worth(heavy, "urgent-only"));
+    }
+  }
+}
--- a/cli/src/main/java/org/marigoldmill/cli/BenchCommand.java
+++ b/cli/src/main/java/org/marigoldmill/cli/BenchCommand.java
@@ -48,7 +48,7 @@
     return ExitCode.DONE;
   }
 
-  private static String text(BenchReport report) {
+  static String text(BenchReport report) {
     return report.getRowsList().stream().map(BenchCommand::row).collect(Collectors.joining("\n"));
   }
 
--- a/cli/src/main/java/org/marigoldmill/cli/Main.java
+++ b/cli/src/main/java/org/marigoldmill/cli/Main.java
@@ -27,6 +27,7 @@
           new DrainCommand(),
           new ExplainCommand(),
           new BenchCommand(),
+          new EmulateCommand(),
           new VersionCommand());
 
   private Main() {}
