--- a/cli/src/test/java/org/marigoldmill/cli/deployment/EngineStandin.java
+++ b/cli/src/test/java/org/marigoldmill/cli/deployment/EngineStandin.java
@@ -13,7 +13,7 @@
 import java.util.List;
 import java.util.Queue;
 import java.util.concurrent.ConcurrentLinkedQueue;
-import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
 import org.marigoldmill.http.HttpServer;
@@ -37,6 +37,7 @@
   private final Queue<Order> orders = new ConcurrentLinkedQueue<>();
   private final Queue<String> runs = new ConcurrentLinkedQueue<>();
   private final Queue<String> cut = new ConcurrentLinkedQueue<>();
+  private final AtomicBoolean closed = new AtomicBoolean();
   private final HttpServer server;
 
   EngineStandin(String id, String model, int events, long eventMs) {
@@ -89,7 +90,9 @@
 
   @Override
   public void close() {
-    server.close();
+    if (!closed.getAndSet(true)) {
+      server.close();
+    }
   }
 
   private void handle(HttpServerExchange exchange) throws IOException {
@@ -124,21 +127,14 @@
     }
   }
 
-  /** The whole engine ends with its connections, without an answer, as a crashed process does. */
+  /**
+   * The whole engine ends with its connections, without an answer, as a crashed process does.
+   *
+   * <p>Stopping the server waits for its handlers, so it must not happen inside one.
+   */
   private void crash(HttpServerExchange exchange) throws IOException {
-    CountDownLatch ended = new CountDownLatch(1);
-    new Thread(
-            () -> {
-              server.close();
-              IoUtils.safeClose(exchange.getConnection());
-              ended.countDown();
-            })
-        .start();
-    try {
-      ended.await();
-    } catch (InterruptedException e) {
-      Thread.currentThread().interrupt();
-    }
+    new Thread(this::close).start();
+    IoUtils.safeClose(exchange.getConnection());
     throw new IOException("crashed");
   }
 
