Read once more: one piece where two did the same, and less work on hot paths

No behaviour is meant to change; tests keep their assertions.

Dead code: EngineLoads.retain, EmulatedStep.number, a result that nobody read, and Forwarder.Outcome.retryAfterMs, which was always the same constant. A log line printed a whole tally where its counts were meant.

--- a/bench/src/main/java/org/marigoldmill/bench/emulator/EmulatedEngine.java
+++ b/bench/src/main/java/org/marigoldmill/bench/emulator/EmulatedEngine.java
@@ -66,13 +66,12 @@
     loadLeftMs = Math.max(1, scenario.getLoadMs());
   }
 
-  /** Carries a load on; returns whether it has ended now. */
-  boolean carryLoadOn(double ms) {
+  /** Carries a load on for a time; at its end the engine has the new weights. */
+  void carryLoadOn(double ms) {
     loadLeftMs -= Math.round(ms);
     if (loadLeftMs <= 0) {
       versions.merge(loadingModel, loadingVersion, Math::max);
     }
-    return loadLeftMs <= 0;
   }
 
   /** Returns the time of an event under what runs now. */
--- a/bench/src/main/java/org/marigoldmill/bench/emulator/EmulatedStep.java
+++ b/bench/src/main/java/org/marigoldmill/bench/emulator/EmulatedStep.java
@@ -7,7 +7,6 @@
 
 /** One step of a trainer: its items, and when its groups were complete. */
 final class EmulatedStep {
-  private final int number;
   private final String model;
   private final long askedAt;
   private final long minVersion;
@@ -17,8 +16,7 @@
   private final List<Long> completedAt = new ArrayList<>();
   private boolean ended;
 
-  EmulatedStep(int number, String model, long askedAt, long minVersion, int wantedGroups) {
-    this.number = number;
+  EmulatedStep(String model, long askedAt, long minVersion, int wantedGroups) {
     this.model = model;
     this.askedAt = askedAt;
     this.minVersion = minVersion;
@@ -36,10 +34,6 @@
     }
   }
 
-  int number() {
-    return number;
-  }
-
   String model() {
     return model;
   }
--- a/bench/src/main/java/org/marigoldmill/bench/emulator/EmulatedTrainer.java
+++ b/bench/src/main/java/org/marigoldmill/bench/emulator/EmulatedTrainer.java
@@ -84,7 +84,7 @@
 
   private void ask(long now) {
     int wanted = (int) Math.ceil(scenario.getWantedShare() * scenario.getGroups());
-    EmulatedStep step = new EmulatedStep(planned, model, now, nextMinVersion(), wanted);
+    EmulatedStep step = new EmulatedStep(model, now, nextMinVersion(), wanted);
     for (int group = 0; group < scenario.getGroups(); group++) {
       for (int i = 0; i < scenario.getGroupSize(); i++) {
         int events = events();
--- a/bench/src/main/java/org/marigoldmill/bench/emulator/Emulator.java
+++ b/bench/src/main/java/org/marigoldmill/bench/emulator/Emulator.java
@@ -52,6 +52,7 @@
   private final EngineVersions versions = new EngineVersions();
   private final LoadQueue queue;
   private final Map<String, Long> progressAt = new HashMap<>();
+  private Map<String, List<Engine>> shares = Map.of();
   private int lives;
   private int loadsDone;
   private int moves;
@@ -68,6 +69,7 @@
       trainers.add(new EmulatedTrainer(model, scenario, new Random(seed * 31 + i)));
       loads.put(model, new EngineLoads());
     }
+    shares = divide();
   }
 
   /** Returns the names of the policies that can be compared. */
@@ -135,11 +137,13 @@
     }
     if (now == scenario.getGoneFromMs()) {
       first(scenario.getGoneEngines()).forEach(this::remove);
+      shares = divide();
     }
     if (now == scenario.getGoneFromMs() + scenario.getGoneForMs()) {
       for (int i = 0; i < scenario.getGoneEngines(); i++) {
         addEngine();
       }
+      shares = divide();
     }
   }
 
@@ -195,16 +199,17 @@
     }
   }
 
-  private Map<String, List<Engine>> shares() {
+  /** Divides the engines anew; their shares change only when engines come or go. */
+  private Map<String, List<Engine>> divide() {
     Map<String, Double> demand =
         trainers.stream().collect(Collectors.toMap(EmulatedTrainer::model, t -> 1.0));
-    EngineShares shares = EngineShares.divide(engines.keySet(), demand);
+    EngineShares divided = EngineShares.divide(engines.keySet(), demand);
     Map<String, List<Engine>> byModel = new LinkedHashMap<>();
     for (EmulatedTrainer trainer : trainers) {
       byModel.put(
           trainer.model(),
           engines.keySet().stream()
-              .filter(shares.engines(trainer.model())::contains)
+              .filter(divided.engines(trainer.model())::contains)
               .map(this::described)
               .toList());
     }
@@ -225,7 +230,6 @@
   }
 
   private void start(long now) {
-    Map<String, List<Engine>> shares = shares();
     for (EmulatedTrainer trainer : trainers) {
       EngineLoads placed = loads.get(trainer.model());
       for (EmulatedItem item : waiting(trainer)) {
@@ -255,7 +259,6 @@
   }
 
   private void move(long now) {
-    Map<String, List<Engine>> shares = shares();
     for (EmulatedTrainer trainer : trainers) {
       if (waiting(trainer).isEmpty() && trainer.open().isPresent()) {
         move(trainer, shares.get(trainer.model()), now);
@@ -300,7 +303,6 @@
   }
 
   private void plan(long now) {
-    Map<String, List<Engine>> shares = shares();
     for (EmulatedTrainer trainer : trainers) {
       String model = trainer.model();
       List<WeightPlan.Place> places =
--- a/cli/src/main/java/org/marigoldmill/cli/explain/LogLine.java
+++ b/cli/src/main/java/org/marigoldmill/cli/explain/LogLine.java
@@ -4,6 +4,7 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import java.util.Optional;
+import java.util.function.Predicate;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 
@@ -50,11 +51,10 @@
     }
   }
 
-  /** Returns whether the message names an id as a whole word. */
-  public boolean names(String id) {
-    return Pattern.compile("(?<![\\w-])" + Pattern.quote(id) + "(?![\\w-])")
-        .matcher(message)
-        .find();
+  /** Returns a test of whether a line's message names an id as a whole word. */
+  static Predicate<LogLine> naming(String id) {
+    Pattern word = Pattern.compile("(?<![\\w-])" + Pattern.quote(id) + "(?![\\w-])");
+    return line -> word.matcher(line.message()).find();
   }
 
   /** Returns the value of a pair in the message. */
--- a/cli/src/main/java/org/marigoldmill/cli/explain/RequestStory.java
+++ b/cli/src/main/java/org/marigoldmill/cli/explain/RequestStory.java
@@ -53,21 +53,26 @@
    * @return the story, which is empty when no line names the id
    */
   public static RequestStory of(String id, List<LogLine> lines) {
-    List<LogLine> told = lines.stream().filter(l -> l.names(id)).sorted(IN_ORDER_OF_TIME).toList();
+    Predicate<LogLine> namesId = LogLine.naming(id);
+    List<LogLine> told = lines.stream().filter(namesId).sorted(IN_ORDER_OF_TIME).toList();
     if (told.isEmpty()) {
       return new RequestStory(List.of(), List.of());
     }
     long from = told.get(0).timestamp() - BEFORE_MS;
     long until = told.get(told.size() - 1).timestamp() + AFTER_MS;
     Set<String> instances = told.stream().map(LogLine::instance).collect(Collectors.toSet());
-    Set<String> engines =
-        told.stream().flatMap(l -> l.value("engine").stream()).collect(Collectors.toSet());
+    Predicate<LogLine> namesEngine =
+        told.stream()
+            .flatMap(l -> l.value("engine").stream())
+            .distinct()
+            .map(LogLine::naming)
+            .reduce(l -> false, Predicate::or);
     Predicate<LogLine> ofInstance = l -> instances.contains(l.instance()) && in(OF_INSTANCES, l);
-    Predicate<LogLine> ofEngine = l -> in(OF_ENGINES, l) && engines.stream().anyMatch(l::names);
+    Predicate<LogLine> ofEngine = l -> in(OF_ENGINES, l) && namesEngine.test(l);
     List<LogLine> around =
         lines.stream()
-            .filter(l -> l.timestamp() >= from && l.timestamp() <= until && !l.names(id))
-            .filter(ofInstance.or(ofEngine))
+            .filter(l -> l.timestamp() >= from && l.timestamp() <= until)
+            .filter(ofInstance.or(ofEngine).and(namesId.negate()))
             .sorted(IN_ORDER_OF_TIME)
             .toList();
     return new RequestStory(told, around);
--- a/cli/src/test/java/org/marigoldmill/cli/deployment/DeploymentIT.java
+++ b/cli/src/test/java/org/marigoldmill/cli/deployment/DeploymentIT.java
@@ -20,10 +20,14 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
+import org.marigoldmill.cli.process.ProcessCluster;
 import org.marigoldmill.http.HttpAnswer;
 
 /** The whole path on the users' platform, over separate processes and small stand-ins. */
 class DeploymentIT {
+  /** Time for a crash to be told to the other instance, in milliseconds. */
+  private static final long PAUSE_MS = 50;
+
   private DeploymentWorld world;
 
   @BeforeEach
@@ -248,7 +252,7 @@
       for (int i = 0; i < 12; i++) {
         String caller = world.instances.get(i % 2).caller();
         world.ask(caller, "GET", "/crash/poison", "poison-" + i, "key");
-        DeploymentWorld.pause();
+        ProcessCluster.pause(PAUSE_MS);
       }
       // THEN: two crashes decide; what is on its way meanwhile may make up to the six allowed
       long crashed = engines.stream().filter(e -> e.runs().size() > served(e)).count();
--- a/cli/src/test/java/org/marigoldmill/cli/deployment/DeploymentWorld.java
+++ b/cli/src/test/java/org/marigoldmill/cli/deployment/DeploymentWorld.java
@@ -1,7 +1,6 @@
 package org.marigoldmill.cli.deployment;
 
 import static java.nio.charset.StandardCharsets.UTF_8;
-import static org.assertj.core.api.Assertions.assertThat;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
@@ -17,6 +16,7 @@
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.BooleanSupplier;
 import org.marigoldmill.cli.process.DeploymentProcess;
+import org.marigoldmill.cli.process.ProcessCluster;
 import org.marigoldmill.http.CallFailure;
 import org.marigoldmill.http.HttpAnswer;
 import org.marigoldmill.http.HttpCall;
@@ -33,7 +33,6 @@
 
   private static final long EVENT_MS = 100;
   private static final long AWAIT_MS = 40_000;
-  private static final long PAUSE_MS = 50;
   private static final AtomicInteger RUNS = new AtomicInteger();
 
   final StoreStandin store = new StoreStandin();
@@ -201,18 +200,6 @@
 
   /** Waits for a state that the system must reach; the limit only ends a run that hangs. */
   static void await(BooleanSupplier reached) {
-    long until = System.currentTimeMillis() + AWAIT_MS;
-    while (!reached.getAsBoolean()) {
-      assertThat(System.currentTimeMillis()).as("time to wait").isLessThan(until);
-      pause();
-    }
-  }
-
-  static void pause() {
-    try {
-      Thread.sleep(PAUSE_MS);
-    } catch (InterruptedException e) {
-      Thread.currentThread().interrupt();
-    }
+    ProcessCluster.await("state that the system must reach", AWAIT_MS, reached);
   }
 }
--- a/core/src/main/java/org/marigoldmill/core/placement/EngineLoads.java
+++ b/core/src/main/java/org/marigoldmill/core/placement/EngineLoads.java
@@ -88,11 +88,6 @@
     return load == null ? 0 : load.running;
   }
 
-  /** Forgets engines that are gone and run nothing. */
-  public synchronized void retain(List<String> engines) {
-    loads.entrySet().removeIf(e -> e.getValue().running == 0 && !engines.contains(e.getKey()));
-  }
-
   private boolean free(Engine engine, long now) {
     Load load = load(engine.id());
     return load.running < engine.slots() && load.pausedUntil <= now;
--- a/core/src/main/java/org/marigoldmill/core/quarantine/SuspectTable.java
+++ b/core/src/main/java/org/marigoldmill/core/quarantine/SuspectTable.java
@@ -48,6 +48,11 @@
     }
   }
 
+  /** Returns whether no request is suspected, so that none needs its fingerprint looked up. */
+  public synchronized boolean isEmpty() {
+    return byFingerprint.isEmpty();
+  }
+
   /** Returns whether a request must not run. */
   public synchronized boolean quarantined(String fingerprint, long now) {
     Crashes crashes = byFingerprint.get(fingerprint);
--- a/core/src/main/java/org/marigoldmill/core/submission/KeyedRecord.java
+++ b/core/src/main/java/org/marigoldmill/core/submission/KeyedRecord.java
@@ -11,6 +11,11 @@
 @SuppressWarnings("ArrayRecordComponent")
 public record KeyedRecord(String key, Optional<byte[]> value) {
 
+  /** Returns a record of a topic without keys. */
+  public static KeyedRecord unkeyed(byte[] value) {
+    return new KeyedRecord("", Optional.of(value));
+  }
+
   /** Returns a record that stores a value. */
   public static KeyedRecord of(SubmissionKey key, byte[] value) {
     return new KeyedRecord(key.text(), Optional.of(value));
--- a/core/src/main/java/org/marigoldmill/core/submission/PartitionState.java
+++ b/core/src/main/java/org/marigoldmill/core/submission/PartitionState.java
@@ -95,9 +95,9 @@
   /** Returns all submissions that are not ended and lack results. */
   public synchronized List<Submission> open() {
     return submissions.values().stream()
-        .filter(s -> s.whole().filter(h -> !h.getEnded()).isPresent())
-        .filter(s -> s.resultCount() < s.whole().orElseThrow().getItemCount())
-        .map(s -> s.whole().orElseThrow())
+        .flatMap(
+            s ->
+                s.whole().filter(h -> !h.getEnded() && s.resultCount() < h.getItemCount()).stream())
         .toList();
   }
 
--- a/http/src/main/java/org/marigoldmill/http/CallFailure.java
+++ b/http/src/main/java/org/marigoldmill/http/CallFailure.java
@@ -38,4 +38,9 @@
   public Reason reason() {
     return reason;
   }
+
+  /** Returns whether the connection ended while the receiver may have run the request. */
+  public boolean cutInMidRequest() {
+    return reason == Reason.CUT && sent == Sent.MAYBE_RUN;
+  }
 }
--- a/http/src/main/java/org/marigoldmill/http/HttpAnswer.java
+++ b/http/src/main/java/org/marigoldmill/http/HttpAnswer.java
@@ -50,10 +50,7 @@
 
   /** Returns the first value of a header. */
   public Optional<String> header(String name) {
-    return headers.stream()
-        .filter(h -> h.name().equalsIgnoreCase(name))
-        .map(HttpCall.Header::value)
-        .findFirst();
+    return HttpCall.Header.first(headers, name);
   }
 
   /** Returns whether the status is of the 2xx class. */
--- a/http/src/main/java/org/marigoldmill/http/HttpCall.java
+++ b/http/src/main/java/org/marigoldmill/http/HttpCall.java
@@ -2,6 +2,7 @@
 
 import java.net.InetSocketAddress;
 import java.util.List;
+import java.util.Optional;
 
 /**
  * One request to another process.
@@ -35,7 +36,15 @@
   private static final long DEFAULT_TIMEOUT_MS = 5_000;
 
   /** A header with its value. */
-  public record Header(String name, String value) {}
+  public record Header(String name, String value) {
+    /** Returns the first value of a header among others. */
+    public static Optional<String> first(List<Header> headers, String name) {
+      return headers.stream()
+          .filter(h -> h.name().equalsIgnoreCase(name))
+          .map(Header::value)
+          .findFirst();
+    }
+  }
 
   /** Starts a GET with default timeouts. */
   public static HttpCall get(String address, String path) {
--- a/server/src/main/java/org/marigoldmill/server/batch/ItemRunner.java
+++ b/server/src/main/java/org/marigoldmill/server/batch/ItemRunner.java
@@ -35,7 +35,6 @@
 final class ItemRunner {
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
   private static final int CHUNK_BYTES = 8 * 1024;
-  private static final long CONNECT_MS = 300;
   private static final long SILENCE_MS = 1_200;
   private static final long RUN_MS = 20_000;
   private static final long RETRY_MS = 30;
@@ -121,7 +120,7 @@
         sender
             .protocol()
             .call(engine.address(), attempt)
-            .timeouts(CONNECT_MS, SILENCE_MS, RUN_MS)
+            .timeouts(UpstreamSender.CONNECT_MS, SILENCE_MS, RUN_MS)
             .cancelledBy(task.attempt());
     try (HttpStream stream = sender.open(call, attempt)) {
       return take(task, engine, stream);
@@ -283,7 +282,7 @@
   private Forwarder.Outcome reward(RewardCall reward) {
     Optional<Route> route = rewardRoute(reward);
     if (route.isEmpty()) {
-      return new Forwarder.Outcome(Optional.empty(), ErrorKind.NOT_FOUND, 0, false, 0, 0, "");
+      return new Forwarder.Outcome(Optional.empty(), ErrorKind.NOT_FOUND, false, 0, 0, "");
     }
     return forwarder.forward(
         new Forwarder.Request(
--- a/server/src/main/java/org/marigoldmill/server/batch/ModelShares.java
+++ b/server/src/main/java/org/marigoldmill/server/batch/ModelShares.java
@@ -29,6 +29,11 @@
     this.partitions = partitions;
   }
 
+  /** Returns the models of the configuration in force. */
+  List<String> models() {
+    return services().stream().flatMap(s -> s.models().stream()).toList();
+  }
+
   /**
    * Returns the engines of each model that take new work.
    *
@@ -40,12 +45,14 @@
         .heads()
         .forEach(h -> newest.merge(h.getModel(), h, (a, b) -> NEWEST.compare(a, b) > 0 ? a : b));
     Map<String, List<Engine>> shares = new HashMap<>();
-    List<DeploymentConfig.Service> services =
-        deployment.config().map(DeploymentConfig::services).orElse(List.of());
-    services.stream().filter(s -> !s.models().isEmpty()).forEach(s -> divide(s, newest, shares));
+    services().stream().filter(s -> !s.models().isEmpty()).forEach(s -> divide(s, newest, shares));
     return shares;
   }
 
+  private List<DeploymentConfig.Service> services() {
+    return deployment.config().map(DeploymentConfig::services).orElse(List.of());
+  }
+
   private void divide(
       DeploymentConfig.Service service,
       Map<String, Submission> newest,
--- a/server/src/main/java/org/marigoldmill/server/batch/RolloutScheduler.java
+++ b/server/src/main/java/org/marigoldmill/server/batch/RolloutScheduler.java
@@ -198,11 +198,14 @@
       return;
     }
     movedAt = now;
-    Map<String, List<Engine>> engines = shares.current();
     Map<String, List<ItemTask>> byModel =
         tasks.values().stream()
             .filter(ItemTask::running)
             .collect(Collectors.groupingBy(t -> t.submission().getModel()));
+    if (byModel.isEmpty()) {
+      return;
+    }
+    Map<String, List<Engine>> engines = shares.current();
     byModel.forEach(
         (model, running) -> {
           if (backlog(model).waiting() == 0) {
--- a/server/src/main/java/org/marigoldmill/server/batch/WeightPlanner.java
+++ b/server/src/main/java/org/marigoldmill/server/batch/WeightPlanner.java
@@ -52,6 +52,9 @@
   void runRound() {
     long now = clock.now();
     toldAt.values().removeIf(at -> now - at >= REPEAT_MS);
+    if (shares.models().stream().noneMatch(membership::owns)) {
+      return;
+    }
     shares
         .current()
         .forEach(
--- a/server/src/main/java/org/marigoldmill/server/call/Quarantine.java
+++ b/server/src/main/java/org/marigoldmill/server/call/Quarantine.java
@@ -1,9 +1,7 @@
 package org.marigoldmill.server.call;
 
-import static java.nio.charset.StandardCharsets.UTF_8;
-
 import java.util.concurrent.CompletableFuture;
-import org.marigoldmill.core.key.KeyDirectory;
+import org.marigoldmill.core.quarantine.RequestFingerprint;
 import org.marigoldmill.core.quarantine.SuspectTable;
 import org.marigoldmill.http.CallFailure;
 import org.marigoldmill.http.HttpClient;
@@ -35,14 +33,12 @@
 
   /** Returns whether a call must not run. */
   boolean holds(CallContext call) {
-    return suspects.quarantined(fingerprint(call), clock.now());
+    return !suspects.isEmpty() && suspects.quarantined(fingerprint(call), clock.now());
   }
 
   /** Takes in a failed attempt; returns whether the call must not run again. */
   boolean failed(CallContext call, PlatformInstance upstream, CallFailure failure) {
-    boolean cut =
-        failure.reason() == CallFailure.Reason.CUT && failure.sent() == CallFailure.Sent.MAYBE_RUN;
-    if (!cut || !refusesConnections(upstream)) {
+    if (!failure.cutInMidRequest() || !refusesConnections(upstream)) {
       return false;
     }
     boolean quarantined = suspects.crashed(fingerprint(call), upstream.getName(), clock.now());
@@ -63,16 +59,13 @@
 
   /** Takes in an attempt that was answered. */
   void survived(CallContext call) {
-    suspects.survived(fingerprint(call), clock.now());
+    if (!suspects.isEmpty()) {
+      suspects.survived(fingerprint(call), clock.now());
+    }
   }
 
   private static String fingerprint(CallContext call) {
-    return KeyDirectory.hash(
-        String.join(
-            "\0",
-            call.organisation(),
-            call.service().getName(),
-            call.path(),
-            new String(call.body(), UTF_8)));
+    return RequestFingerprint.of(
+        call.organisation(), call.service().getName(), call.path(), call.body());
   }
 }
--- a/server/src/main/java/org/marigoldmill/server/duty/DutyLeaseHolder.java
+++ b/server/src/main/java/org/marigoldmill/server/duty/DutyLeaseHolder.java
@@ -178,10 +178,7 @@
 
   private LogStore.Appended append(long at, DutyLease lease) {
     return store.append(
-        TOPIC,
-        0,
-        OptionalLong.of(at),
-        List.of(new KeyedRecord("", Optional.of(lease.toByteArray()))));
+        TOPIC, 0, OptionalLong.of(at), List.of(KeyedRecord.unkeyed(lease.toByteArray())));
   }
 
   private void noteChange(boolean now) {
--- a/server/src/main/java/org/marigoldmill/server/duty/FleetLog.java
+++ b/server/src/main/java/org/marigoldmill/server/duty/FleetLog.java
@@ -4,7 +4,6 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.TreeMap;
 import java.util.concurrent.ConcurrentHashMap;
@@ -141,6 +140,11 @@
     return tallies;
   }
 
+  /** Returns whether the figures of a window are sealed. */
+  synchronized boolean sealed(long window) {
+    return seals.containsKey(window);
+  }
+
   /** Returns the figures of each window that is sealed. */
   public synchronized Map<Long, Map<String, Long>> sealed() {
     return new TreeMap<>(seals);
@@ -230,7 +234,7 @@
   private LogStore.Outcome append(FleetRecord.Builder told) {
     byte[] value = told.setInstance(instance).build().toByteArray();
     return store
-        .append(TOPIC, 0, OptionalLong.empty(), List.of(new KeyedRecord("", Optional.of(value))))
+        .append(TOPIC, 0, OptionalLong.empty(), List.of(KeyedRecord.unkeyed(value)))
         .outcome();
   }
 
--- a/server/src/main/java/org/marigoldmill/server/duty/UsageDuty.java
+++ b/server/src/main/java/org/marigoldmill/server/duty/UsageDuty.java
@@ -87,7 +87,9 @@
     counter.before(Long.MAX_VALUE).forEach(this::take);
     untold.removeIf(this::told);
     untold.forEach(
-        t -> logger.atWarning().log("usage lost window=%d counts=%s cause=stopped", t.window(), t));
+        t ->
+            logger.atWarning().log(
+                "usage lost window=%d counts=%s cause=stopped", t.window(), t.requests()));
   }
 
   /** Every window gets a tally, also one without requests, so that its seal needn't wait. */
@@ -107,7 +109,7 @@
 
   /** Returns whether a tally needs no further telling. */
   private boolean told(Tally tally) {
-    if (fleet.sealed().containsKey(tally.window())) {
+    if (fleet.sealed(tally.window())) {
       noteLoss(tally);
       return true;
     }
@@ -128,7 +130,7 @@
     long present = now / windowMs;
     long first = Math.max(fleet.completeSince() / windowMs, present - 1 - WINDOWS_BACK);
     for (long w = first; w < present; w++) {
-      if (!fleet.sealed().containsKey(w) && sealable(w, now - (w + 1) * windowMs)) {
+      if (!fleet.sealed(w) && sealable(w, now - (w + 1) * windowMs)) {
         LogStore.Outcome outcome = fleet.seal(w, fleet.tallies().requests(w));
         logger.atInfo().log(
             "usage sealed window=%d complete=%s outcome=%s",
--- a/server/src/main/java/org/marigoldmill/server/gateway/CrashWatch.java
+++ b/server/src/main/java/org/marigoldmill/server/gateway/CrashWatch.java
@@ -1,12 +1,10 @@
 package org.marigoldmill.server.gateway;
 
-import static java.nio.charset.StandardCharsets.UTF_8;
-
 import com.google.common.flogger.FluentLogger;
 import java.util.concurrent.Executor;
 import java.util.concurrent.RejectedExecutionException;
-import org.marigoldmill.core.key.KeyDirectory;
 import org.marigoldmill.core.placement.Engine;
+import org.marigoldmill.core.quarantine.RequestFingerprint;
 import org.marigoldmill.core.quarantine.SuspectTable;
 import org.marigoldmill.http.CallFailure;
 import org.marigoldmill.http.HttpClient;
@@ -44,21 +42,19 @@
 
   /** Returns whether a request must not run, because it has crashed several upstreams. */
   boolean holds(Forwarder.Request request) {
-    return suspects.quarantined(fingerprint(request), clock.now());
+    return !suspects.isEmpty() && suspects.quarantined(fingerprint(request), clock.now());
   }
 
   /** Takes in an attempt that was answered. */
   void survived(Forwarder.Request request) {
-    suspects.survived(fingerprint(request), clock.now());
+    if (!suspects.isEmpty()) {
+      suspects.survived(fingerprint(request), clock.now());
+    }
   }
 
   /** Takes in an attempt that was lost. */
   void lost(Forwarder.Request request, Engine engine, CallFailure failure) {
-    boolean cut =
-        failure.reason() == CallFailure.Reason.CUT
-            && failure.sent() == CallFailure.Sent.MAYBE_RUN
-            && !request.cancellation().cancelled();
-    if (!cut) {
+    if (!failure.cutInMidRequest() || request.cancellation().cancelled()) {
       return;
     }
     try {
@@ -78,14 +74,8 @@
     }
   }
 
-  /** The same request comes again with the same path, caller and body. */
   private static String fingerprint(Forwarder.Request request) {
-    return KeyDirectory.hash(
-        String.join(
-            "\0",
-            request.organisation().orElse(""),
-            request.host(),
-            request.path(),
-            new String(request.body(), UTF_8)));
+    return RequestFingerprint.of(
+        request.organisation().orElse(""), request.host(), request.path(), request.body());
   }
 }
--- a/server/src/main/java/org/marigoldmill/server/gateway/Forwarder.java
+++ b/server/src/main/java/org/marigoldmill/server/gateway/Forwarder.java
@@ -25,11 +25,12 @@
 /** Carries requests to upstreams, with further attempts where the route allows them. */
 public final class Forwarder {
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
-  private static final long CONNECT_MS = 300;
   private static final long SHORTEST_ATTEMPT_MS = 5;
   private static final long FIRST_ATTEMPT_MS = 350;
   private static final long REFUSAL_PAUSE_MS = 15;
-  private static final long RETRY_AFTER_MS = 200;
+
+  /** Time after which a caller that was refused may come back, in milliseconds. */
+  static final long RETRY_AFTER_MS = 200;
 
   /**
    * A request to carry.
@@ -58,14 +59,20 @@
       byte[] body,
       Optional<String> organisation,
       long deadline,
-      Cancellation cancellation) {}
+      Cancellation cancellation) {
+
+    /** Returns an attempt at an upstream, which goes on after an event where there is one. */
+    Attempt attempt(String upstream, OptionalLong resumeAfter, long remainingMs) {
+      return new Attempt(
+          id, upstream, host, method, path, headers, body, organisation, resumeAfter, remainingMs);
+    }
+  }
 
   /**
    * What became of a request.
    *
    * @param answer the upstream's whole answer, if there is one
    * @param kind why there is none
-   * @param retryAfterMs when to come back, in milliseconds
    * @param ran whether an upstream has begun to run it for certain
    * @param attempts attempts made
    * @param failures answers of status 500 among them
@@ -74,7 +81,6 @@
   public record Outcome(
       Optional<HttpAnswer> answer,
       ErrorKind kind,
-      long retryAfterMs,
       boolean ran,
       int attempts,
       int failures,
@@ -124,13 +130,7 @@
         sent = step();
       }
       return new Outcome(
-          answer,
-          record.kind(),
-          RETRY_AFTER_MS,
-          record.ran(),
-          record.attempts(),
-          record.failures(),
-          engine);
+          answer, record.kind(), record.ran(), record.attempts(), record.failures(), engine);
     }
 
     /** Makes one attempt; returns whether the request was sent. */
@@ -174,22 +174,11 @@
       Engine target = chosen.engine();
       PlatformInstance instance = chosen.instance();
       record.sent();
-      Attempt attempt =
-          new Attempt(
-              request.id(),
-              target.id(),
-              request.host(),
-              request.method(),
-              request.path(),
-              request.headers(),
-              request.body(),
-              request.organisation(),
-              OptionalLong.empty(),
-              remaining);
+      Attempt attempt = request.attempt(target.id(), OptionalLong.empty(), remaining);
       long patience = request.route().repeatable() ? patience(remaining) : remaining;
       HttpCall call = sender.protocol().call(target.address(), attempt);
       HttpCall timed =
-          call.timeouts(CONNECT_MS, patience, patience)
+          call.timeouts(UpstreamSender.CONNECT_MS, patience, patience)
               .freshIf(!request.route().repeatable())
               .cancelledBy(request.cancellation());
       try {
--- a/server/src/main/java/org/marigoldmill/server/gateway/Gateway.java
+++ b/server/src/main/java/org/marigoldmill/server/gateway/Gateway.java
@@ -235,7 +235,7 @@
         outcome
             .answer()
             .map(a -> new HttpAnswer(a.status(), protocol.returned(a.headers()), a.body()))
-            .orElseGet(() -> protocol.refusal(outcome.kind(), outcome.retryAfterMs()));
+            .orElseGet(() -> protocol.refusal(outcome.kind(), Forwarder.RETRY_AFTER_MS));
     return new Handled(
         answer, service, outcome.answer().isPresent() ? detail : "refused " + detail);
   }
--- a/server/src/main/java/org/marigoldmill/server/gateway/StreamCarrier.java
+++ b/server/src/main/java/org/marigoldmill/server/gateway/StreamCarrier.java
@@ -33,7 +33,6 @@
 public final class StreamCarrier {
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
   private static final int CHUNK_BYTES = 8 * 1024;
-  private static final long CONNECT_MS = 300;
 
   /** Callers give a stream up after a gap of two seconds, so a resumption must come sooner. */
   private static final long SILENCE_MS = 1_000;
@@ -141,23 +140,12 @@
     }
 
     private void send(Engine target, long remaining) throws IOException {
-      Attempt attempt =
-          new Attempt(
-              request.id(),
-              target.id(),
-              request.host(),
-              request.method(),
-              request.path(),
-              request.headers(),
-              request.body(),
-              request.organisation(),
-              lastEvent,
-              remaining);
+      Attempt attempt = request.attempt(target.id(), lastEvent, remaining);
       HttpCall call =
           sender
               .protocol()
               .call(target.address(), attempt)
-              .timeouts(CONNECT_MS, Math.min(remaining, SILENCE_MS), remaining)
+              .timeouts(UpstreamSender.CONNECT_MS, Math.min(remaining, SILENCE_MS), remaining)
               .freshIf(!request.route().repeatable())
               .cancelledBy(request.cancellation());
       try (HttpStream stream = sender.open(call, attempt)) {
--- a/server/src/test/java/org/marigoldmill/server/deployment/DeploymentCacheFuzzTest.java
+++ b/server/src/test/java/org/marigoldmill/server/deployment/DeploymentCacheFuzzTest.java
@@ -36,45 +36,6 @@
   private static final Topic OPERATOR = new Topic("op", true);
   private static final Topic REGISTRY = new Topic("servers", true);
 
-  /** Reads "VERSION" under "config" and "version/m", and "LIFE STATE" under an engine's id. */
-  private static final class TextCodec implements DeploymentCodec {
-    @Override
-    public Optional<DeploymentConfig> config(String key, byte[] value) {
-      return key.equals("config")
-          ? Optional.of(
-              DeploymentConfig.of(
-                  number(value),
-                  List.of(),
-                  List.of(),
-                  Map.of(),
-                  new DeploymentConfig.Limits(1, 1, 1, 1)))
-          : Optional.empty();
-    }
-
-    @Override
-    public Optional<NamedVersion> version(String key, byte[] value) {
-      return key.equals("version/m")
-          ? Optional.of(new NamedVersion("m", number(value)))
-          : Optional.empty();
-    }
-
-    @Override
-    public Optional<Engine> engine(String key, byte[] value) {
-      List<String> words = List.of(new String(value, UTF_8).split(" ", -1));
-      if (words.size() != 2) {
-        return Optional.empty();
-      }
-      boolean draining = words.get(1).equals("draining");
-      return Optional.of(
-          new Engine(
-              key, Long.parseLong(words.get(0)), "s", "a:1", "z", 1, draining, false, Map.of()));
-    }
-
-    private static long number(byte[] value) {
-      return Long.parseLong(new String(value, UTF_8));
-    }
-  }
-
   /** One process that follows both topics. */
   private static final class Reader {
     private final DeploymentState state = new DeploymentState(new TextCodec());
--- a/server/src/test/java/org/marigoldmill/server/deployment/EngineRegistryTest.java
+++ b/server/src/test/java/org/marigoldmill/server/deployment/EngineRegistryTest.java
@@ -3,40 +3,15 @@
 import static java.nio.charset.StandardCharsets.UTF_8;
 import static org.assertj.core.api.Assertions.assertThat;
 
-import java.util.Map;
 import java.util.Optional;
 import java.util.Random;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
-import org.marigoldmill.core.placement.Engine;
-import org.marigoldmill.core.route.DeploymentConfig;
 import org.marigoldmill.core.routing.UpstreamTable;
 import org.marigoldmill.core.weights.EngineVersions;
 import org.marigoldmill.server.store.StoredRecord;
 
 class EngineRegistryTest {
-  /** Reads "ready" and "draining"; anything else is of another writer. */
-  private static final class TextCodec implements DeploymentCodec {
-    @Override
-    public Optional<DeploymentConfig> config(String key, byte[] value) {
-      return Optional.empty();
-    }
-
-    @Override
-    public Optional<NamedVersion> version(String key, byte[] value) {
-      return Optional.empty();
-    }
-
-    @Override
-    public Optional<Engine> engine(String key, byte[] value) {
-      String state = new String(value, UTF_8);
-      return state.equals("ready") || state.equals("draining")
-          ? Optional.of(
-              new Engine(key, 1, "s", "a:1", "z", 1, state.equals("draining"), false, Map.of()))
-          : Optional.empty();
-    }
-  }
-
   private final UpstreamTable upstreams = UpstreamTable.with(new Random(1));
   private final EngineRegistry registry =
       new EngineRegistry(new TextCodec(), upstreams, new EngineVersions());
@@ -52,10 +27,10 @@
     @Test
     void should_give_no_new_work_to_an_engine_when_it_drains() {
       // GIVEN
-      told("e", "ready");
+      told("e", "1 ready");
       assertThat(upstreams.usable("s")).hasSize(1);
       // WHEN
-      told("e", "draining");
+      told("e", "1 draining");
       // THEN
       assertThat(upstreams.usable("s")).isEmpty();
       assertThat(registry.usable("s")).isEmpty();
@@ -64,7 +39,7 @@
 
     @Test
     void should_give_no_new_work_to_an_engine_when_its_entry_is_gone() {
-      told("e", "ready");
+      told("e", "1 ready");
       told("e", null);
       assertThat(upstreams.usable("s")).isEmpty();
       assertThat(registry.engine("e")).isEmpty();
@@ -72,7 +47,7 @@
 
     @Test
     void should_keep_an_engine_when_a_record_cannot_be_read() {
-      told("e", "ready");
+      told("e", "1 ready");
       told("e", "of another writer");
       assertThat(upstreams.usable("s")).hasSize(1);
     }
--- /dev/null
+++ b/server/src/test/java/org/marigoldmill/server/deployment/TextCodec.java
@@ -0,0 +1,48 @@
+package org.marigoldmill.server.deployment;
+
+import static java.nio.charset.StandardCharsets.UTF_8;
+
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.marigoldmill.core.placement.Engine;
+import org.marigoldmill.core.route.DeploymentConfig;
+
+/** Reads "VERSION" under "config" and "version/m", and "LIFE STATE" under an engine's id. */
+final class TextCodec implements DeploymentCodec {
+  @Override
+  public Optional<DeploymentConfig> config(String key, byte[] value) {
+    return key.equals("config")
+        ? Optional.of(
+            DeploymentConfig.of(
+                number(value),
+                List.of(),
+                List.of(),
+                Map.of(),
+                new DeploymentConfig.Limits(1, 1, 1, 1)))
+        : Optional.empty();
+  }
+
+  @Override
+  public Optional<NamedVersion> version(String key, byte[] value) {
+    return key.equals("version/m")
+        ? Optional.of(new NamedVersion("m", number(value)))
+        : Optional.empty();
+  }
+
+  @Override
+  public Optional<Engine> engine(String key, byte[] value) {
+    List<String> words = List.of(new String(value, UTF_8).split(" ", -1));
+    if (words.size() != 2) {
+      return Optional.empty();
+    }
+    boolean draining = words.get(1).equals("draining");
+    return Optional.of(
+        new Engine(
+            key, Long.parseLong(words.get(0)), "s", "a:1", "z", 1, draining, false, Map.of()));
+  }
+
+  private static long number(byte[] value) {
+    return Long.parseLong(new String(value, UTF_8));
+  }
+}
