Shutdown: log its phases, the requests that it cuts and answers that are not sent

Before, a request whose connection the shutdown closed was logged with status 200 like any other, and nothing told when the instance looked for open requests last and when it closed. New lines: shutdown phase=, request cut, response not sent; counter unsent_responses_total. explain shows the phases. What the instance does is unchanged.

--- a/cli/src/main/java/org/marigoldmill/cli/explain/RequestTimeline.java
+++ b/cli/src/main/java/org/marigoldmill/cli/explain/RequestTimeline.java
@@ -29,6 +29,7 @@
           "duty lease held",
           "started instance",
           "stopping open",
+          "shutdown phase",
           "ready=");
 
   private static final Set<String> ENGINE_EVENTS =
--- a/server/src/main/java/org/marigoldmill/server/DeploymentInstance.java
+++ b/server/src/main/java/org/marigoldmill/server/DeploymentInstance.java
@@ -229,6 +229,7 @@
     if (!draining.compareAndSet(false, true)) {
       return;
     }
+    final long startedAtMs = clock.now();
     final long untilMs = clock.now() + settings.getGraceMs() - SHUTDOWN_RESERVE_MS;
     final long removedMs = clock.now() + BALANCER_REMOVAL_MS;
     logger.atInfo().log(
@@ -241,14 +242,24 @@
     }
     membership.leave();
     lease.release();
+    logShutdownPhase("waiting", startedAtMs);
     while (clock.now() < removedMs
         || (gateway.openRequests() + rollouts.runningAttempts() > 0 && clock.now() < untilMs)) {
       Pause.millis(DRAIN_POLL_MS);
     }
     rollouts.cancelAll();
+    logShutdownPhase("storing usage", startedAtMs);
     publishUsage.run();
-    logger.atInfo().log("stopped open=%d", gateway.openRequests());
+    logShutdownPhase("closing", startedAtMs);
+    gateway.logCutRequests();
     close();
+    logShutdownPhase("stopped", startedAtMs);
+  }
+
+  private void logShutdownPhase(String phase, long startedAtMs) {
+    logger.atInfo().log(
+        "shutdown phase=%s after_ms=%d open=%d items=%d",
+        phase, clock.now() - startedAtMs, gateway.openRequests(), rollouts.runningAttempts());
   }
 
   /** Waits until the instance has stopped. */
--- a/server/src/main/java/org/marigoldmill/server/Metrics.java
+++ b/server/src/main/java/org/marigoldmill/server/Metrics.java
@@ -40,6 +40,12 @@
           .labelNames("job", "outcome")
           .register(registry);
 
+  private final Counter unsentResponsesTotal =
+      Counter.builder()
+          .name(PREFIX + "unsent_responses_total")
+          .help("Responses whose connection was closed before they could be sent")
+          .register(registry);
+
   /** Counts a call and records its duration, given in milliseconds. */
   public void recordCall(String service, String organisation, String outcome, long durationMs) {
     callsTotal.labelValues(service, organisation, outcome).inc();
@@ -56,6 +62,11 @@
     samplesTotal.labelValues(job, outcome).inc(count);
   }
 
+  /** Counts a response whose connection was closed before it could be sent. */
+  public void recordUnsentResponse() {
+    unsentResponsesTotal.inc();
+  }
+
   /** Registers a gauge whose value is read on each scrape. */
   public void registerGauge(String name, String help, DoubleSupplier value) {
     GaugeWithCallback.builder()
--- a/server/src/main/java/org/marigoldmill/server/gateway/Gateway.java
+++ b/server/src/main/java/org/marigoldmill/server/gateway/Gateway.java
@@ -9,8 +9,9 @@
 import io.undertow.util.Headers;
 import java.io.IOException;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
-import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.ConcurrentHashMap;
 import org.marigoldmill.core.error.ErrorKind;
 import org.marigoldmill.core.error.MarigoldmillException;
 import org.marigoldmill.core.route.DeploymentConfig;
@@ -37,7 +38,7 @@
   private final UsageCounter usage;
   private final Metrics metrics;
   private final Clock clock;
-  private final AtomicInteger openRequests = new AtomicInteger();
+  private final Map<HttpServerExchange, Long> openRequests = new ConcurrentHashMap<>();
   private final DisconnectDetector disconnects;
   private volatile boolean draining;
 
@@ -74,16 +75,27 @@
 
   /** Returns the number of requests in progress. */
   public int openRequests() {
-    return openRequests.get();
+    return openRequests.size();
+  }
+
+  /** Logs each request in progress, whose connection is about to be closed. */
+  public void logCutRequests() {
+    openRequests.forEach(
+        (exchange, arrivedAtMs) ->
+            logger.atWarning().log(
+                "request cut id=%s path=%s ms=%d cause=shutdown",
+                protocol.requestId(exchange).orElse(""),
+                exchange.getRequestPath(),
+                clock.now() - arrivedAtMs));
   }
 
   @Override
   public void handleRequest(HttpServerExchange exchange) {
     final long arrivedAtMs = clock.now();
-    openRequests.incrementAndGet();
+    openRequests.put(exchange, arrivedAtMs);
     exchange.addExchangeCompleteListener(
         (done, next) -> {
-          openRequests.decrementAndGet();
+          openRequests.remove(done);
           disconnects.unwatch(done);
           next.proceed();
         });
@@ -141,6 +153,12 @@
         elapsedMs,
         result.detail());
     if (!exchange.isResponseStarted()) {
+      if (!exchange.getConnection().isOpen()) {
+        metrics.recordUnsentResponse();
+        logger.atInfo().log(
+            "response not sent id=%s status=%d cause=connection closed draining=%s",
+            id, result.response().status(), draining);
+      }
       send(exchange, result.response());
     }
   }
