Shutdown: shut a gate first, wait for those inside, and only then close

Cause: the shutdown looked for open requests once, and then stored usage, ended about 25 tasks one by one and closed the server, while the server still took requests on kept connections. Each was counted only from its own start, so none that came after the look was waited for.

Now RequestGate counts every request of an HttpServer before anything is decided about it. The step from serving to refusing is taken only while no request is inside, atomically; HttpServer.close shuts the gate, waits for those inside, and then closes the connections. From 2.3 s after SIGTERM on, a request whose time limit ends after the end of service is refused at once, with Retry-After 0.

Also without a bound: Undertow.stop waited for handlers as long as they ran, each task was joined for up to 2 s, one after the other, and each append to a silent store took up to 0.7 s. ShutdownSchedule now bounds each step, tasks are interrupted first and then joined together, and a process that is still there 0.1 s before the end of the grace halts itself.

--- a/cli/src/main/java/org/marigoldmill/cli/ServeDeploymentCommand.java
+++ b/cli/src/main/java/org/marigoldmill/cli/ServeDeploymentCommand.java
@@ -1,5 +1,6 @@
 package org.marigoldmill.cli;
 
+import ch.qos.logback.classic.LoggerContext;
 import com.google.common.flogger.FluentLogger;
 import java.io.UncheckedIOException;
 import java.nio.file.Path;
@@ -8,13 +9,17 @@
 import org.marigoldmill.platform.PlatformAdapter;
 import org.marigoldmill.schema.settings.DeploymentSettings;
 import org.marigoldmill.server.DeploymentInstance;
+import org.marigoldmill.server.Pause;
 import org.marigoldmill.server.settings.InvalidSettings;
 import org.marigoldmill.server.settings.SettingsReader;
+import org.slf4j.LoggerFactory;
 
 /** Runs one entry instance on the outer platform until it receives SIGTERM. */
 final class ServeDeploymentCommand implements Command {
   private static final String SETTINGS_VARIABLE = "MARIGOLDMILL_CONFIG";
 
+  private static final long HALT_MARGIN_MS = 100;
+
   /** Writes logs to standard output through a bounded queue that drops lines and never blocks. */
   private static final String LOG_CONFIGURATION = "logback-deployment.xml";
 
@@ -48,7 +53,9 @@
         SettingsReader.read(file, DeploymentSettings.getDefaultInstance());
     DeploymentInstance instance = PlatformAdapter.start(settings);
     HangupSignal.handle(() -> validateChangedSettings(file, settings));
-    Runtime.getRuntime().addShutdownHook(new Thread(() -> drainAndExit(instance), "shutdown"));
+    Runtime.getRuntime()
+        .addShutdownHook(
+            new Thread(() -> drainAndExit(instance, settings.getGraceMs()), "shutdown"));
     instance.awaitStopped();
     return ExitCode.DONE;
   }
@@ -78,8 +85,30 @@
         : Path.of(pathFromEnvironment);
   }
 
-  private static void drainAndExit(DeploymentInstance instance) {
-    instance.drain();
-    Runtime.getRuntime().halt(ExitCode.DONE);
+  private static void drainAndExit(DeploymentInstance instance, long graceMs) {
+    Thread limit = new Thread(() -> haltAfter(graceMs - HALT_MARGIN_MS), "shutdown-limit");
+    limit.setDaemon(true);
+    limit.start();
+    try {
+      instance.drain();
+    } finally {
+      flushLogs();
+      Runtime.getRuntime().halt(ExitCode.DONE);
+    }
+  }
+
+  /** Writes the lines that still wait in the queue of the log. */
+  private static void flushLogs() {
+    if (LoggerFactory.getILoggerFactory() instanceof LoggerContext context) {
+      context.stop();
+    }
+  }
+
+  /** Ends a process whose shutdown does not end by itself. */
+  private static void haltAfter(long ms) {
+    if (Pause.millis(Math.max(0, ms))) {
+      System.err.println("shutdown not completed within the grace period, halting");
+      Runtime.getRuntime().halt(ExitCode.DONE);
+    }
   }
 }
--- a/cli/src/test/java/org/marigoldmill/cli/deployment/DeploymentCluster.java
+++ b/cli/src/test/java/org/marigoldmill/cli/deployment/DeploymentCluster.java
@@ -44,8 +44,15 @@
           System.getProperty("marigoldmill.work"),
           "deployment-" + NEXT_DIRECTORY.incrementAndGet());
   private final HttpClient client = HttpClient.create("callers", 1);
+  private final String[] extraSettings;
 
-  DeploymentCluster() {
+  /**
+   * Starts two instances.
+   *
+   * @param extraSettings more lines of the settings of every instance
+   */
+  DeploymentCluster(String... extraSettings) {
+    this.extraSettings = extraSettings;
     store.put("op", "config", config(1));
     store.put("servers", "e-1", engine.entry("llm"));
     store.put("servers", "p-1", plain.entry("app"));
@@ -59,7 +66,7 @@
     try {
       Files.createDirectories(directory);
       for (String name : names) {
-        instances.add(DeploymentProcess.start(name, directory, store.address()));
+        instances.add(DeploymentProcess.start(name, directory, store.address(), extraSettings));
       }
     } catch (IOException e) {
       throw new UncheckedIOException(e);
@@ -173,6 +180,10 @@
         .put("idle_timeout_ms", 10_000);
     ArrayNode routes = config.putArray("routes");
     route(routes, "/app/", "idempotent", "app").put("max_attempts", 2).put("slo_ms", 500);
+    route(routes, "/long/", "idempotent", "app")
+        .put("max_attempts", 1)
+        .put("slo_ms", 500)
+        .put("timeout_ms", 30_000);
     route(routes, "/crash/", "idempotent", "crash").put("max_attempts", 2).put("slo_ms", 500);
     route(routes, "/batch/", "weight_rollout", "llm")
         .put("max_attempts", 3)
--- a/cli/src/test/java/org/marigoldmill/cli/deployment/EngineStandin.java
+++ b/cli/src/test/java/org/marigoldmill/cli/deployment/EngineStandin.java
@@ -23,6 +23,8 @@
 final class EngineStandin implements AutoCloseable {
   private static final ObjectMapper MAPPER = new ObjectMapper();
   private static final int WORKERS = 32;
+  private static final long SLOW_ANSWER_MS = 300;
+  private static final long SILENT_ANSWER_MS = 20_000;
   private static final String SCORE_PREFIX = "score-of-";
 
   /** A weight order as received. */
@@ -130,16 +132,20 @@
   /**
    * Closes the server and its connections without an answer, as the crash of a process does.
    *
-   * <p>Closing the server waits for its handlers, so a handler must not do it itself.
+   * <p>Aborting the server waits for its handlers, so a handler must not do it itself.
    */
   private void crash(HttpServerExchange exchange) throws IOException {
-    new Thread(this::close).start();
+    if (!closed.getAndSet(true)) {
+      new Thread(server::abort).start();
+    }
     IoUtils.safeClose(exchange.getConnection());
     throw new IOException("crashed");
   }
 
   private void answer(HttpServerExchange exchange, String path) throws IOException {
     if (!path.startsWith("/gen/")) {
+      sleep(path.endsWith("/slow") ? SLOW_ANSWER_MS : 0);
+      sleep(path.endsWith("/silent") ? SILENT_ANSWER_MS : 0);
       exchange.getOutputStream().write("answer".getBytes(UTF_8));
       return;
     }
@@ -158,7 +164,7 @@
       }
       out.write(("id: " + i + "\ndata: piece " + i + "\n\n").getBytes(UTF_8));
       out.flush();
-      awaitNextEvent();
+      sleep(eventIntervalMs);
     }
   }
 
@@ -183,9 +189,9 @@
     exchange.getOutputStream().write(report.toString().getBytes(UTF_8));
   }
 
-  private void awaitNextEvent() {
+  private static void sleep(long ms) {
     try {
-      Thread.sleep(eventIntervalMs);
+      Thread.sleep(ms);
     } catch (InterruptedException e) {
       Thread.currentThread().interrupt();
     }
--- a/cli/src/test/java/org/marigoldmill/cli/deployment/StoreStandin.java
+++ b/cli/src/test/java/org/marigoldmill/cli/deployment/StoreStandin.java
@@ -16,6 +16,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
+import org.marigoldmill.cli.process.ProcessCluster;
 import org.marigoldmill.http.HttpResponse;
 import org.marigoldmill.http.HttpServer;
 
@@ -25,6 +26,7 @@
   private static final int PARTITIONS = 12;
   private static final int WORKERS = 96;
   private static final long MEMBER_TTL_MS = 1_500;
+  private static final long SILENCE_POLL_MS = 50;
 
   private final Map<String, List<byte[]>> partitions = new LinkedHashMap<>();
   private final Map<String, Long> members = new TreeMap<>();
@@ -32,12 +34,14 @@
   private List<String> memberNames = List.of();
   private long generation;
   private volatile boolean unavailable;
+  private volatile boolean silent;
+  private volatile long appendDelayMs;
 
   StoreStandin() {
     server =
         HttpServer.forAddress("127.0.0.1:0")
             .workerThreads(WORKERS)
-            .post("/-/log-append", unlessUnavailable(this::append))
+            .post("/-/log-append", unlessUnavailable(this::appendAfterDelay))
             .get("/-/log-read", unlessUnavailable(this::read))
             .get("/-/log-newest", unlessUnavailable(this::newest))
             .post("/-/log-join", unlessUnavailable(this::joinGroup))
@@ -51,8 +55,21 @@
     notifyAll();
   }
 
+  /** Makes the store answer no further call. */
+  void silence() {
+    silent = true;
+  }
+
+  /** Delays the answers to appends. */
+  void delayAppends(long ms) {
+    appendDelayMs = ms;
+  }
+
   private HttpServer.RouteHandler unlessUnavailable(HttpServer.RouteHandler route) {
     return request -> {
+      while (silent) {
+        ProcessCluster.pause(SILENCE_POLL_MS);
+      }
       if (unavailable) {
         return new HttpResponse(503, List.of(), new byte[0]);
       }
@@ -80,9 +97,15 @@
 
   @Override
   public void close() {
+    silent = false;
     server.close();
   }
 
+  private HttpResponse appendAfterDelay(HttpServer.Request request) {
+    ProcessCluster.pause(appendDelayMs);
+    return append(request);
+  }
+
   private synchronized HttpResponse append(HttpServer.Request request) {
     List<byte[]> log = partition(request);
     long end = log.size();
--- a/cli/src/test/java/org/marigoldmill/cli/process/DeploymentProcess.java
+++ b/cli/src/test/java/org/marigoldmill/cli/process/DeploymentProcess.java
@@ -20,8 +20,13 @@
     this.readinessAddress = ready;
   }
 
-  /** Starts an instance in zone a with its settings in the directory; does not await readiness. */
-  public static DeploymentProcess start(String name, Path directory, String store) {
+  /**
+   * Starts an instance in zone a with its settings in the directory; does not await readiness.
+   *
+   * @param extra more lines of its settings
+   */
+  public static DeploymentProcess start(
+      String name, Path directory, String store, String... extra) {
     String caller = ProcessCluster.freeAddress();
     String ready = ProcessCluster.freeAddress();
     String settings =
@@ -34,6 +39,7 @@
             "metrics_address = \"" + ProcessCluster.freeAddress() + "\"",
             "store = \"" + store + "\"",
             "turn_guard_ms = 500",
+            String.join("\n", extra),
             "");
     try {
       Path file = directory.resolve(name + ".toml");
--- a/http/src/main/java/org/marigoldmill/http/HttpServer.java
+++ b/http/src/main/java/org/marigoldmill/http/HttpServer.java
@@ -1,5 +1,6 @@
 package org.marigoldmill.http;
 
+import com.google.common.flogger.FluentLogger;
 import com.google.protobuf.Message;
 import io.undertow.Undertow;
 import io.undertow.UndertowOptions;
@@ -9,6 +10,7 @@
 import io.undertow.server.handlers.BlockingHandler;
 import io.undertow.util.Headers;
 import io.undertow.util.HttpString;
+import io.undertow.util.StatusCodes;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
@@ -21,13 +23,21 @@
 /**
  * HTTP server whose route handlers return complete responses.
  *
+ * <p>Closing it refuses new requests, then waits a while for the responses to the others, and only
+ * then closes the connections.
+ *
  * <pre>{@code
  * HttpServer server =
  *     HttpServer.forAddress("127.0.0.1:0").get("/status", request -> status()).start();
  * }</pre>
  */
 public final class HttpServer implements AutoCloseable {
+  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
   private static final int DEFAULT_WORKER_THREADS = 16;
+  private static final long CLOSE_WAIT_MS = 300;
+
+  /** Time that handlers get to end after their connections have been closed. */
+  private static final int HANDLER_STOP_MS = 100;
 
   /** Responds to the requests of one route, on a worker thread. */
   @FunctionalInterface
@@ -78,7 +88,9 @@
 
   private final InetSocketAddress address;
   private final RoutingHandler routes = new RoutingHandler();
+  private final RequestGate gate = new RequestGate();
   private HttpHandler rootHandler = routes;
+  private HttpHandler refusalHandler = HttpServer::refuse;
   private OptionMap limits = OptionMap.EMPTY;
   private int workerThreads = DEFAULT_WORKER_THREADS;
   private Undertow undertow;
@@ -122,6 +134,12 @@
     return this;
   }
 
+  /** Sets the handler that refuses requests once the server is closing. */
+  public HttpServer refusalHandler(HttpHandler handler) {
+    refusalHandler = handler;
+    return this;
+  }
+
   /**
    * Limits request heads and idle connections; must be called before {@link #start}.
    *
@@ -146,7 +164,7 @@
             .addHttpListener(address.getPort(), address.getHostString())
             .setIoThreads(2)
             .setWorkerThreads(workerThreads)
-            .setHandler(rootHandler);
+            .setHandler(gate.guard(rootHandler, refusalHandler));
     OptionMap options = serverOptions();
     options.forEach(option -> setOption(builder, option, options));
     undertow = builder.build();
@@ -160,17 +178,57 @@
     return bound.getAddress().getHostAddress() + ":" + bound.getPort();
   }
 
+  /** Returns the number of requests whose responses are not complete. */
+  public int openRequests() {
+    return gate.inside();
+  }
+
+  /** Refuses all further requests if none is open; returns whether further ones are refused. */
+  public boolean refuseIfIdle() {
+    return gate.shutIfEmpty();
+  }
+
+  /** Closes the server; requests that are open for too long lose their connections. */
   @Override
   public void close() {
+    close(CLOSE_WAIT_MS, () -> {});
+  }
+
+  /**
+   * Closes the server.
+   *
+   * @param waitMs longest wait for the responses to open requests, in milliseconds
+   * @param beforeCut called after that wait if requests are still open
+   */
+  public void close(long waitMs, Runnable beforeCut) {
+    gate.shut();
+    if (!gate.awaitEmpty(waitMs)) {
+      logger.atWarning().log(
+          "server closes with open requests address=%s open=%d", address, gate.inside());
+      beforeCut.run();
+    }
+    abort();
+  }
+
+  /** Closes all connections at once, without responses to open requests. */
+  public void abort() {
+    gate.shut();
     if (undertow != null) {
       undertow.stop();
     }
   }
 
+  private static void refuse(HttpServerExchange exchange) {
+    exchange.setPersistent(false);
+    exchange.setStatusCode(StatusCodes.SERVICE_UNAVAILABLE);
+    exchange.endExchange();
+  }
+
   private OptionMap serverOptions() {
     return OptionMap.builder()
         .addAll(limits)
         .set(UndertowOptions.ENABLE_HTTP2, false)
+        .set(UndertowOptions.SHUTDOWN_TIMEOUT, HANDLER_STOP_MS)
         .set(UndertowOptions.ALWAYS_SET_KEEP_ALIVE, false)
         .getMap();
   }
--- a/server/src/main/java/org/marigoldmill/server/DeploymentInstance.java
+++ b/server/src/main/java/org/marigoldmill/server/DeploymentInstance.java
@@ -5,6 +5,8 @@
 import java.util.Deque;
 import java.util.List;
 import java.util.Optional;
+import java.util.Queue;
+import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.SynchronousQueue;
@@ -64,11 +66,7 @@
   private static final long CLOCK_SKEW_MARGIN_MS = 10_000;
 
   private static final long DRAIN_POLL_MS = 20;
-
-  /** Time that the load balancer takes to stop sending requests here. */
-  private static final long BALANCER_REMOVAL_MS = 2_300;
-
-  private static final long SHUTDOWN_RESERVE_MS = 1_200;
+  private static final long TASK_STOP_MS = 150;
   private static final int IDLE_THREAD_SECONDS = 5;
   private static final int MAX_ITEM_THREADS = 256;
   private static final int MAX_PROBE_THREADS = 2;
@@ -77,6 +75,7 @@
   private final PlatformPorts ports;
   private final Clock clock = Clock.monotonic();
   private final Deque<AutoCloseable> resources = new ArrayDeque<>();
+  private final Queue<PeriodicTask> tasks = new ConcurrentLinkedQueue<>();
   private final CountDownLatch stopped = new CountDownLatch(1);
   private final AtomicBoolean draining = new AtomicBoolean();
   private final AtomicBoolean loggedReady = new AtomicBoolean();
@@ -176,8 +175,8 @@
             usage,
             metrics,
             clock);
-    registerGauges();
     this.servers = register(new DeploymentServers(settings, gateway, metrics));
+    registerGauges();
     servers.startControlServers(readyPath, this::isReady);
     deployment.addConfigListener(servers::serveCallers);
     startFollowers();
@@ -224,42 +223,78 @@
         && partitions.ready();
   }
 
-  /** Stops gracefully; returns once the instance has stopped or its grace period is over. */
+  /**
+   * Stops gracefully, within the grace period of the settings.
+   *
+   * <p>Requests are served until none is open after the load balancer has removed this instance.
+   * From then on they are refused, so that none is in progress when the connections are closed.
+   */
   public void drain() {
     if (!draining.compareAndSet(false, true)) {
       return;
     }
     final long startedAtMs = clock.now();
-    final long untilMs = clock.now() + settings.getGraceMs() - SHUTDOWN_RESERVE_MS;
-    final long removedMs = clock.now() + BALANCER_REMOVAL_MS;
+    ShutdownSchedule schedule = ShutdownSchedule.of(startedAtMs, settings.getGraceMs());
     logger.atInfo().log(
-        "stopping open=%d items=%d", gateway.openRequests(), rollouts.runningAttempts());
-    gateway.drain();
+        "stopping open=%d items=%d", servers.openRequests(), rollouts.runningAttempts());
+    gateway.drain(schedule.removedMs(), schedule.serveUntilMs());
     List<String> inProgress = rollouts.startDraining();
-    if (!inProgress.isEmpty()) {
-      fleet.publishItemsInProgress(
-          inProgress, System.currentTimeMillis() + settings.getGraceMs() - SHUTDOWN_RESERVE_MS);
-    }
-    membership.leave();
-    lease.release();
-    logShutdownPhase("waiting", startedAtMs);
-    while (clock.now() < removedMs
-        || (gateway.openRequests() + rollouts.runningAttempts() > 0 && clock.now() < untilMs)) {
+    long itemsUntilUnixMs = System.currentTimeMillis() + schedule.serveUntilMs() - startedAtMs;
+    final Thread leaving = startThread("leave", () -> leave(inProgress, itemsUntilUnixMs));
+    logShutdownPhase("serving", startedAtMs);
+    while (clock.now() < schedule.serveUntilMs() && !refuseCallersIfQuiet(schedule.removedMs())) {
       Pause.millis(DRAIN_POLL_MS);
     }
+    logShutdownPhase("refusing", startedAtMs);
     rollouts.cancelAll();
+    servers.closeCallers(schedule.answerUntilMs() - clock.now());
     logShutdownPhase("storing usage", startedAtMs);
-    publishUsage.run();
+    Thread usage = startThread("last-usage", publishUsage);
+    awaitEnd(leaving, schedule.storeUntilMs());
+    awaitEnd(usage, schedule.storeUntilMs());
     logShutdownPhase("closing", startedAtMs);
-    gateway.logCutRequests();
     close();
     logShutdownPhase("stopped", startedAtMs);
   }
 
+  /** Refuses callers once the load balancer sends none and nothing is in progress. */
+  private boolean refuseCallersIfQuiet(long removedMs) {
+    return clock.now() >= removedMs
+        && rollouts.runningAttempts() == 0
+        && servers.refuseCallersIfIdle();
+  }
+
+  private void leave(List<String> itemsInProgress, long itemsUntilUnixMs) {
+    if (!itemsInProgress.isEmpty()) {
+      fleet.publishItemsInProgress(itemsInProgress, itemsUntilUnixMs);
+    }
+    membership.leave();
+    lease.release();
+  }
+
+  /** Starts a thread that the end of the process does not wait for. */
+  private static Thread startThread(String name, Runnable action) {
+    Thread thread = new Thread(action, name);
+    thread.setDaemon(true);
+    thread.start();
+    return thread;
+  }
+
+  private void awaitEnd(Thread thread, long untilMs) {
+    try {
+      thread.join(Math.max(1, untilMs - clock.now()));
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+    if (thread.isAlive()) {
+      logger.atWarning().log("step of the shutdown not completed name=%s", thread.getName());
+    }
+  }
+
   private void logShutdownPhase(String phase, long startedAtMs) {
     logger.atInfo().log(
         "shutdown phase=%s after_ms=%d open=%d items=%d",
-        phase, clock.now() - startedAtMs, gateway.openRequests(), rollouts.runningAttempts());
+        phase, clock.now() - startedAtMs, servers.openRequests(), rollouts.runningAttempts());
   }
 
   /** Waits until the instance has stopped. */
@@ -269,6 +304,7 @@
 
   @Override
   public void close() {
+    PeriodicTask.stopAll(tasks, TASK_STOP_MS);
     for (Optional<AutoCloseable> resource = popResource();
         resource.isPresent();
         resource = popResource()) {
@@ -296,7 +332,7 @@
         "config_version",
         "Version of the configuration in force",
         () -> deployment.config().map(c -> (double) c.version()).orElse(0.0));
-    metrics.registerGauge("open_requests", "Requests in progress", gateway::openRequests);
+    metrics.registerGauge("open_requests", "Requests in progress", servers::openRequests);
     metrics.registerGauge(
         "running_items", "Items that are being generated", rollouts::runningAttempts);
     metrics.registerGauge(
@@ -356,7 +392,7 @@
   }
 
   private void startTask(long pauseMs, String name, PeriodicTask.Action action) {
-    register(PeriodicTask.start(pauseMs, name, action));
+    tasks.add(PeriodicTask.start(pauseMs, name, action));
   }
 
   private ExecutorService pool(String name, int maxThreads) {
--- a/server/src/main/java/org/marigoldmill/server/DeploymentServers.java
+++ b/server/src/main/java/org/marigoldmill/server/DeploymentServers.java
@@ -34,6 +34,7 @@
   private Optional<HttpServer> readyServer = Optional.empty();
   private Optional<HttpServer> metricsServer = Optional.empty();
   private volatile Optional<HttpServer> callerServer = Optional.empty();
+  private boolean closed;
 
   /** Creates the servers without starting any. */
   DeploymentServers(DeploymentSettings settings, Gateway gateway, Metrics metrics) {
@@ -65,9 +66,12 @@
                     "/metrics", q -> new HttpResponse(200, List.of(), metrics.toPrometheusText())));
   }
 
-  /** Starts the server for callers if it is not running; its limits hold until a restart. */
+  /**
+   * Starts the server for callers if it is neither running nor closed; its limits hold until a
+   * restart.
+   */
   synchronized void serveCallers(DeploymentConfig config) {
-    if (callerServer.isPresent()) {
+    if (closed || callerServer.isPresent()) {
       return;
     }
     DeploymentConfig.Limits limits = config.limits();
@@ -78,6 +82,7 @@
             HttpServer.forAddress(settings.getCallerAddress())
                 .workerThreads(settings.getWorkerThreads())
                 .rootHandler(gateway)
+                .refusalHandler(gateway::refuse)
                 .limits(
                     limits.maxHeaderBytes(),
                     limits.headerTimeoutMs(),
@@ -89,11 +94,32 @@
     return callerServer.isPresent();
   }
 
+  /** Returns the number of callers' requests whose responses are not complete. */
+  int openRequests() {
+    return callerServer.map(HttpServer::openRequests).orElse(0);
+  }
+
+  /** Refuses callers from now on if no request is open; returns whether they are refused. */
+  synchronized boolean refuseCallersIfIdle() {
+    closed = callerServer.map(HttpServer::refuseIfIdle).orElse(true);
+    return closed;
+  }
+
+  /**
+   * Closes the server for callers.
+   *
+   * @param waitMs longest wait for the responses to open requests, in milliseconds
+   */
+  synchronized void closeCallers(long waitMs) {
+    closed = true;
+    callerServer.ifPresent(s -> s.close(waitMs, gateway::logCutRequests));
+  }
+
   @Override
   public synchronized void close() {
-    callerServer.ifPresent(HttpServer::close);
-    metricsServer.ifPresent(HttpServer::close);
-    readyServer.ifPresent(HttpServer::close);
+    closeCallers(0);
+    metricsServer.ifPresent(HttpServer::abort);
+    readyServer.ifPresent(HttpServer::abort);
   }
 
   /** Returns the started server, or empty if its address is in use, which is not fatal. */
--- a/server/src/main/java/org/marigoldmill/server/EntryInstance.java
+++ b/server/src/main/java/org/marigoldmill/server/EntryInstance.java
@@ -3,6 +3,7 @@
 import com.google.common.flogger.FluentLogger;
 import com.google.protobuf.MessageOrBuilder;
 import java.util.ArrayDeque;
+import java.util.ArrayList;
 import java.util.Deque;
 import java.util.List;
 import java.util.Optional;
@@ -68,10 +69,12 @@
   private static final long WATCH_INTERVAL_MS = 200;
   private static final long TIMER_INTERVAL_MS = 20;
   private static final long DRAIN_POLL_INTERVAL_MS = 20;
+  private static final long TASK_STOP_MS = 2_000;
 
   private final ServeSettings settings;
   private final Clock clock = Clock.monotonic();
   private final Deque<AutoCloseable> resources = new ArrayDeque<>();
+  private final List<PeriodicTask> tasks = new ArrayList<>();
   private final AtomicBoolean draining = new AtomicBoolean();
   private final CountDownLatch stopped = new CountDownLatch(1);
   private final SharedState state = new SharedState();
@@ -155,6 +158,7 @@
   /** Stops at once without waiting for open calls. */
   @Override
   public void close() {
+    PeriodicTask.stopAll(tasks, TASK_STOP_MS);
     while (!resources.isEmpty()) {
       closeQuietly(resources.pop());
     }
@@ -294,7 +298,7 @@
   }
 
   private void startTask(long pauseMs, String name, PeriodicTask.Action round) {
-    register(PeriodicTask.start(pauseMs, name, round));
+    tasks.add(PeriodicTask.start(pauseMs, name, round));
   }
 
   private void runDrain() {
--- a/server/src/main/java/org/marigoldmill/server/PeriodicTask.java
+++ b/server/src/main/java/org/marigoldmill/server/PeriodicTask.java
@@ -1,17 +1,19 @@
 package org.marigoldmill.server;
 
 import com.google.common.flogger.FluentLogger;
+import java.util.Collection;
+import java.util.List;
 import java.util.concurrent.TimeUnit;
 
 /**
- * A daemon thread that repeats an action with a fixed delay until it is closed.
+ * A daemon thread that repeats an action with a fixed delay until it is stopped.
  *
  * <p>An action that throws is logged and run again.
  */
 public final class PeriodicTask implements AutoCloseable {
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
   private static final int LOG_INTERVAL_SECONDS = 5;
-  private static final long JOIN_TIMEOUT_MS = 2_000;
+  private static final long CLOSE_TIMEOUT_MS = 2_000;
 
   /** The action of a periodic task. */
   @FunctionalInterface
@@ -20,11 +22,13 @@
     void run() throws InterruptedException;
   }
 
+  private final String name;
   private final Thread thread;
-  private volatile boolean closed;
+  private volatile boolean stopped;
 
   private PeriodicTask(String name, long pauseMs, Action action) {
-    this.thread = new Thread(() -> runRepeatedly(name, pauseMs, action), name);
+    this.name = name;
+    this.thread = new Thread(() -> runRepeatedly(pauseMs, action), name);
     thread.setDaemon(true);
   }
 
@@ -40,19 +44,38 @@
     return task;
   }
 
-  @Override
-  public void close() {
-    closed = true;
-    thread.interrupt();
+  /**
+   * Stops tasks: interrupts all of them first, and then waits for them together.
+   *
+   * @param timeoutMs longest wait for all tasks together, in milliseconds
+   */
+  public static void stopAll(Collection<PeriodicTask> tasks, long timeoutMs) {
+    tasks.forEach(PeriodicTask::interrupt);
+    long untilMs = System.nanoTime() / 1_000_000 + timeoutMs;
     try {
-      thread.join(JOIN_TIMEOUT_MS);
+      for (PeriodicTask task : tasks) {
+        task.thread.join(Math.max(1, untilMs - System.nanoTime() / 1_000_000));
+      }
     } catch (InterruptedException e) {
       Thread.currentThread().interrupt();
     }
+    tasks.stream()
+        .filter(t -> t.thread.isAlive())
+        .forEach(t -> logger.atWarning().log("periodic task still runs name=%s", t.name));
+  }
+
+  @Override
+  public void close() {
+    stopAll(List.of(this), CLOSE_TIMEOUT_MS);
+  }
+
+  private void interrupt() {
+    stopped = true;
+    thread.interrupt();
   }
 
-  private void runRepeatedly(String name, long pauseMs, Action action) {
-    while (!closed) {
+  private void runRepeatedly(long pauseMs, Action action) {
+    while (!stopped) {
       try {
         action.run();
         Thread.sleep(pauseMs);
--- a/server/src/main/java/org/marigoldmill/server/gateway/Gateway.java
+++ b/server/src/main/java/org/marigoldmill/server/gateway/Gateway.java
@@ -30,6 +30,12 @@
   private static final long RETRY_AFTER_MS = 300;
   private static final String NO_SERVICE = "";
 
+  /** Time within which submissions are stored and read while the store answers. */
+  private static final long SUBMISSION_LIMIT_MS = 2_500;
+
+  /** Callers of a stopping instance should go to another instance at once. */
+  private static final long DRAINING_RETRY_AFTER_MS = 0;
+
   private final CallerProtocol protocol;
   private final DeploymentState deployment;
   private final Forwarder forwarder;
@@ -40,7 +46,7 @@
   private final Clock clock;
   private final Map<HttpServerExchange, Long> openRequests = new ConcurrentHashMap<>();
   private final DisconnectDetector disconnects;
-  private volatile boolean draining;
+  private volatile Optional<ServiceEnd> serviceEnd = Optional.empty();
 
   /** Creates a gateway. */
   public Gateway(
@@ -68,14 +74,29 @@
     disconnects.checkCallers();
   }
 
-  /** Closes every connection after its next response. */
-  public void drain() {
-    draining = true;
+  /**
+   * The end of service of a stopping instance, in times of the monotonic clock.
+   *
+   * @param selectiveFromMs time from which requests are refused that might outlast the service, in
+   *     milliseconds
+   * @param untilMs time until which requests are served, in milliseconds
+   */
+  private record ServiceEnd(long selectiveFromMs, long untilMs) {
+    private boolean precludes(long nowMs, long limitMs) {
+      return nowMs >= selectiveFromMs && limitMs > untilMs;
+    }
   }
 
-  /** Returns the number of requests in progress. */
-  public int openRequests() {
-    return openRequests.size();
+  /**
+   * Closes every connection after its next response, and later refuses requests whose time limit
+   * ends too late.
+   *
+   * @param selectiveFromMs time on the monotonic clock from which such requests are refused, in
+   *     milliseconds
+   * @param untilMs latest end of a time limit then, on the same clock
+   */
+  public void drain(long selectiveFromMs, long untilMs) {
+    serviceEnd = Optional.of(new ServiceEnd(selectiveFromMs, untilMs));
   }
 
   /** Logs each request in progress, whose connection is about to be closed. */
@@ -89,9 +110,30 @@
                 clock.now() - arrivedAtMs));
   }
 
+  /** Authenticates, routes and answers a request. */
   @Override
   public void handleRequest(HttpServerExchange exchange) {
-    final long arrivedAtMs = clock.now();
+    long arrivedAtMs = clock.now();
+    receive(exchange, arrivedAtMs, (body, id) -> route(exchange, body, arrivedAtMs, id));
+  }
+
+  /** Refuses a request that arrives after the end of service. */
+  public void refuse(HttpServerExchange exchange) {
+    receive(
+        exchange,
+        clock.now(),
+        (body, id) -> {
+          throw MarigoldmillException.of(ErrorKind.DRAINING, "shut");
+        });
+  }
+
+  /** Decides on the response to a request whose body has been read. */
+  @FunctionalInterface
+  private interface Responder {
+    Result respond(byte[] body, String id);
+  }
+
+  private void receive(HttpServerExchange exchange, long arrivedAtMs, Responder responder) {
     openRequests.put(exchange, arrivedAtMs);
     exchange.addExchangeCompleteListener(
         (done, next) -> {
@@ -107,7 +149,8 @@
     exchange
         .getRequestReceiver()
         .receiveFullBytes(
-            (received, body) -> received.dispatch(() -> respond(received, body, arrivedAtMs)),
+            (received, body) ->
+                received.dispatch(() -> respond(received, body, arrivedAtMs, responder)),
             (failed, cause) -> rejectUnreadable(failed, cause));
   }
 
@@ -129,14 +172,16 @@
         protocol.errorResponse(tooLarge ? ErrorKind.BODY_TOO_LARGE : ErrorKind.BAD_REQUEST, 0));
   }
 
-  private void respond(HttpServerExchange exchange, byte[] body, long arrivedAtMs) {
+  private void respond(
+      HttpServerExchange exchange, byte[] body, long arrivedAtMs, Responder responder) {
     String id = protocol.requestId(exchange).orElse("");
     Result result;
     try {
-      result = route(exchange, body, arrivedAtMs, id);
+      result = responder.respond(body, id);
     } catch (MarigoldmillException e) {
+      long retryAfterMs = e.kind() == ErrorKind.DRAINING ? DRAINING_RETRY_AFTER_MS : RETRY_AFTER_MS;
       result =
-          new Result(protocol.errorResponse(e.kind(), RETRY_AFTER_MS), NO_SERVICE, e.getMessage());
+          new Result(protocol.errorResponse(e.kind(), retryAfterMs), NO_SERVICE, e.getMessage());
     } catch (RuntimeException e) {
       logger.atWarning().withCause(e).log("internal error id=%s", id);
       result = new Result(protocol.errorResponse(ErrorKind.INTERNAL, 0), NO_SERVICE, e.toString());
@@ -157,7 +202,7 @@
         metrics.recordUnsentResponse();
         logger.atInfo().log(
             "response not sent id=%s status=%d cause=connection closed draining=%s",
-            id, result.response().status(), draining);
+            id, result.response().status(), serviceEnd.isPresent());
       }
       send(exchange, result.response());
     }
@@ -175,6 +220,7 @@
     Optional<CallerProtocol.SubmissionQuery> question = protocol.submissionQuery(exchange);
     if (question.isPresent()) {
       String organisation = organisation(config, exchange);
+      requireTimeUntil(arrivedAtMs + SUBMISSION_LIMIT_MS);
       HttpResponse response = submissions.respond(question.get(), organisation);
       return new Result(response, "submissions", question.get().toString());
     }
@@ -193,11 +239,23 @@
       throw MarigoldmillException.of(ErrorKind.BAD_REQUEST, "request id missing");
     }
     if (route.kind() == Route.Kind.ROLLOUT) {
+      requireTimeUntil(arrivedAtMs + SUBMISSION_LIMIT_MS);
       return submit(exchange, body, id, route, host, organisation.orElse(""));
     }
     return forward(exchange, body, arrivedAtMs, id, route, host, organisation);
   }
 
+  /**
+   * Refuses a request of a stopping instance that may still be in progress when service ends.
+   *
+   * @param limitMs end of the time limit of the request on the monotonic clock, in milliseconds
+   */
+  private void requireTimeUntil(long limitMs) {
+    if (serviceEnd.filter(e -> e.precludes(clock.now(), limitMs)).isPresent()) {
+      throw MarigoldmillException.of(ErrorKind.DRAINING, "time limit ends after service");
+    }
+  }
+
   private Result submit(
       HttpServerExchange exchange,
       byte[] body,
@@ -224,6 +282,7 @@
       Optional<String> organisation) {
     long timeoutMs =
         Math.min(route.timeoutMs(), protocol.deadlineMs(exchange).orElse(route.timeoutMs()));
+    requireTimeUntil(arrivedAtMs + timeoutMs);
     String query = exchange.getQueryString();
     String path = exchange.getRequestURI() + (query.isEmpty() ? "" : "?" + query);
     String service = route.chooseService(id);
@@ -265,7 +324,7 @@
   }
 
   private Result forwardStream(HttpServerExchange exchange, Forwarder.Request request) {
-    if (draining) {
+    if (serviceEnd.isPresent()) {
       exchange.setPersistent(false);
     }
     StreamForwarder.Outcome outcome = streamForwarder.forward(request, exchange);
@@ -304,7 +363,7 @@
   }
 
   private void send(HttpServerExchange exchange, HttpResponse response) {
-    if (draining) {
+    if (serviceEnd.isPresent()) {
       exchange.setPersistent(false);
       exchange.getResponseHeaders().put(Headers.CONNECTION, "close");
     }
