Know within one answer that the store is back after a refused read

Callers saw submissions refused at once, and instances unready, for a whole poll after a single refused read. Cause: the read after a refusal waited for a record again, and the follower counted the store as away until that read returned.

Now the first read after a refusal does not wait. PartitionFollowerTest, on the old code: waits [0, 1000, 1000, 1000]; now [0, 1000, 0, 1000].

--- a/server/src/main/java/org/marigoldmill/server/store/PartitionFollower.java
+++ b/server/src/main/java/org/marigoldmill/server/store/PartitionFollower.java
@@ -78,7 +78,8 @@
   /** Reads once and applies the records; meant to be called in a loop. */
   public void pollOnce() throws InterruptedException {
     try {
-      boolean receivedRecords = readAndApply(waitMs);
+      // A read that waits would confirm only late that the store answers again.
+      boolean receivedRecords = readAndApply(unreachableMs() > 0 ? 0 : waitMs);
       markReachable();
       if (receivedRecords && pauseMs > 0) {
         Thread.sleep(pauseMs);
