Refuse by the configuration only while it cannot be outdated

A 404 or 401 is final for callers, while a 503 lets them try another instance.

A follower now tells how long an answer of the store is overdue, which covers refused reads and silent connections alike. When it is overdue by more than 0.5 s, the gateway answers 503 knowledge-stale instead of 404 or 401. Routes and keys that are known are served as before. The refusal's log line names the version and the delay.

DeploymentIT: a new route requested 2.0 s after its version, at an instance whose path to the store is cut: 404 on, 503 now.

--- a/cli/src/test/java/org/marigoldmill/cli/deployment/DeploymentCluster.java
+++ b/cli/src/test/java/org/marigoldmill/cli/deployment/DeploymentCluster.java
@@ -55,11 +55,16 @@
 
   /** Starts instances and waits until they are ready. */
   void startInstances(String... names) {
+    startInstancesAt(store.address(), names);
+  }
+
+  /** Starts instances that reach the store at an address, and waits until they are ready. */
+  void startInstancesAt(String storeAddress, String... names) {
     // Test classes run concurrently, so each cluster has its own directory.
     try {
       Files.createDirectories(directory);
       for (String name : names) {
-        instances.add(DeploymentProcess.start(name, directory, store.address()));
+        instances.add(DeploymentProcess.start(name, directory, storeAddress));
       }
     } catch (IOException e) {
       throw new UncheckedIOException(e);
@@ -87,7 +92,7 @@
   }
 
   HttpResponse call(String path, String key) {
-    return request(instances.get(0).callerAddress(), "GET", path, "call-" + path.hashCode(), key);
+    return requestWithKey(0, path, key);
   }
 
   /**
@@ -111,6 +116,11 @@
     return request(instances.get(instance).callerAddress(), method, path, "", "key");
   }
 
+  HttpResponse requestWithKey(int instance, String path, String key) {
+    return request(
+        instances.get(instance).callerAddress(), "GET", path, "call-" + path.hashCode(), key);
+  }
+
   HttpResponse request(String address, String method, String path, String id, String key) {
     return send(address, method, path, id, key, new byte[0]);
   }
@@ -192,6 +202,15 @@
     return config;
   }
 
+  /** Returns a configuration that has one more route than {@link #config}. */
+  static ObjectNode configWithNewRoute(long version) {
+    ObjectNode config = config(version);
+    route(config.withArray("routes"), "/new/", "idempotent", "app")
+        .put("max_attempts", 2)
+        .put("slo_ms", 500);
+    return config;
+  }
+
   private static ObjectNode route(ArrayNode routes, String prefix, String kind, String service) {
     ObjectNode route = routes.addObject().put("name", prefix).put("host", "h");
     return route
--- a/cli/src/test/java/org/marigoldmill/cli/deployment/DeploymentIT.java
+++ b/cli/src/test/java/org/marigoldmill/cli/deployment/DeploymentIT.java
@@ -21,6 +21,7 @@
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 import org.marigoldmill.cli.process.ProcessCluster;
+import org.marigoldmill.cli.process.Relay;
 import org.marigoldmill.http.HttpResponse;
 
 /** End-to-end tests of two deployed instances, with stand-ins for the store and the engines. */
@@ -28,6 +29,9 @@
   /** Time in which an instance notifies the other of a crash. */
   private static final long CRASH_NOTICE_MS = 50;
 
+  /** Time in which a configuration takes effect at instances that reach the store. */
+  private static final long CONFIG_APPLY_MS = 2_000;
+
   private DeploymentCluster cluster;
 
   @BeforeEach
@@ -214,6 +218,33 @@
     }
   }
 
+  @Nested
+  class Configuration {
+    @Test
+    void should_refuse_no_new_route_when_the_path_to_the_store_is_cut() {
+      // GIVEN
+      try (Relay relay = new Relay(cluster.store.address())) {
+        cluster.startInstancesAt(relay.address(), "three");
+        int cutOff = cluster.instances.size() - 1;
+        assertThat(cluster.request(cutOff, "GET", "/new/x").status()).isEqualTo(404);
+        // WHEN
+        relay.cut();
+        cluster.store.put("op", "config", DeploymentCluster.configWithNewRoute(2));
+        ProcessCluster.pause(CONFIG_APPLY_MS);
+        // THEN
+        assertThat(cluster.request(cutOff, "GET", "/new/x").status()).isEqualTo(503);
+        assertThat(cluster.requestWithKey(cutOff, "/app/x", "new-key").status()).isEqualTo(503);
+        assertThat(cluster.requestWithKey(cutOff, "/app/x", "key").status()).isEqualTo(200);
+        // WHEN
+        relay.heal();
+        // THEN
+        DeploymentCluster.await(
+            () -> cluster.requestWithKey(cutOff, "/new/x", "key").status() == 200);
+        assertThat(cluster.request(cutOff, "GET", "/nowhere").status()).isEqualTo(404);
+      }
+    }
+  }
+
   @Nested
   class Calls {
     @Test
--- a/core/src/main/java/org/marigoldmill/core/error/ErrorKind.java
+++ b/core/src/main/java/org/marigoldmill/core/error/ErrorKind.java
@@ -27,7 +27,7 @@
       502, true, Execution.MAYBE_RUN, "the upstream was lost before its answer was whole"),
   NO_UPSTREAM(503, true, Execution.NOT_RUN, "no upstream can take the request"),
   DRAINING(503, true, Execution.NOT_RUN, "this instance is stopping"),
-  KNOWLEDGE_STALE(503, true, Execution.NOT_RUN, "this instance may have missed key withdrawals"),
+  KNOWLEDGE_STALE(503, true, Execution.NOT_RUN, "this instance may have missed changes"),
   NOT_CONFIGURED(503, true, Execution.NOT_RUN, "this instance has no configuration yet"),
   CLAIM_UNAVAILABLE(503, true, Execution.NOT_RUN, "no peer could confirm that the request is new"),
   STORE_REFUSED(503, true, Execution.NOT_RUN, "the store took nothing"),
--- a/server/src/main/java/org/marigoldmill/server/DeploymentInstance.java
+++ b/server/src/main/java/org/marigoldmill/server/DeploymentInstance.java
@@ -170,6 +170,7 @@
         new Gateway(
             ports.callers(),
             deployment,
+            operatorFollower::overdueMs,
             forwarder,
             new StreamForwarder(picker, upstreams, sender, ports.callers(), clock),
             submissions,
--- a/server/src/main/java/org/marigoldmill/server/gateway/Gateway.java
+++ b/server/src/main/java/org/marigoldmill/server/gateway/Gateway.java
@@ -11,6 +11,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.LongSupplier;
 import org.marigoldmill.core.error.ErrorKind;
 import org.marigoldmill.core.error.MarigoldmillException;
 import org.marigoldmill.core.route.DeploymentConfig;
@@ -27,10 +28,15 @@
 public final class Gateway implements HttpHandler {
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
   private static final long RETRY_AFTER_MS = 300;
+
+  /** Delay of the store after which a newer configuration may have been missed. */
+  private static final long MAX_CONFIG_OVERDUE_MS = 500;
+
   private static final String NO_SERVICE = "";
 
   private final CallerProtocol protocol;
   private final DeploymentState deployment;
+  private final LongSupplier configOverdueMs;
   private final Forwarder forwarder;
   private final StreamForwarder streamForwarder;
   private final SubmissionService submissions;
@@ -41,10 +47,15 @@
   private final DisconnectDetector disconnects;
   private volatile boolean draining;
 
-  /** Creates a gateway. */
+  /**
+   * Creates a gateway.
+   *
+   * @param configOverdueMs returns how long news of the configuration have been overdue
+   */
   public Gateway(
       CallerProtocol protocol,
       DeploymentState deployment,
+      LongSupplier configOverdueMs,
       Forwarder forwarder,
       StreamForwarder streamForwarder,
       SubmissionService submissions,
@@ -53,6 +64,7 @@
       Clock clock) {
     this.protocol = protocol;
     this.deployment = deployment;
+    this.configOverdueMs = configOverdueMs;
     this.forwarder = forwarder;
     this.streamForwarder = streamForwarder;
     this.submissions = submissions;
@@ -165,10 +177,7 @@
     Route route =
         config
             .route(host, path)
-            .orElseThrow(
-                () ->
-                    MarigoldmillException.of(
-                        ErrorKind.NOT_FOUND, "no matching route in version " + config.version()));
+            .orElseThrow(() -> refusal(ErrorKind.NOT_FOUND, "no matching route", config));
     Optional<String> organisation =
         route.publicAccess() ? Optional.empty() : Optional.of(organisation(config, exchange));
     if (id.isEmpty()) {
@@ -270,10 +279,20 @@
                 () -> MarigoldmillException.of(ErrorKind.KEY_MISSING, "request without key"));
     return config
         .organisation(key)
-        .orElseThrow(
-            () ->
-                MarigoldmillException.of(
-                    ErrorKind.KEY_UNKNOWN, "not in version " + config.version()));
+        .orElseThrow(() -> refusal(ErrorKind.KEY_UNKNOWN, "unknown key", config));
+  }
+
+  /**
+   * Creates a refusal by a configuration.
+   *
+   * <p>Callers do not retry it, so an instance that may have missed a newer configuration asks them
+   * to retry instead.
+   */
+  private MarigoldmillException refusal(ErrorKind kind, String reason, DeploymentConfig config) {
+    long overdueMs = configOverdueMs.getAsLong();
+    String detail = reason + " in version " + config.version() + " overdue_ms=" + overdueMs;
+    return MarigoldmillException.of(
+        overdueMs > MAX_CONFIG_OVERDUE_MS ? ErrorKind.KNOWLEDGE_STALE : kind, detail);
   }
 
   private static String host(HttpServerExchange exchange) {
--- a/server/src/main/java/org/marigoldmill/server/store/PartitionFollower.java
+++ b/server/src/main/java/org/marigoldmill/server/store/PartitionFollower.java
@@ -50,6 +50,7 @@
   private boolean loaded;
   private volatile long unreachableSinceMs = NEVER;
   private volatile long upToDateAtMs = NEVER;
+  private volatile long lastHeardAtMs = NEVER;
   private volatile boolean ready;
 
   /**
@@ -142,6 +143,20 @@
     return since == NEVER ? 0 : Math.max(1, clock.now() - since);
   }
 
+  /**
+   * Returns how long an answer of the store has been overdue, in milliseconds; {@code
+   * Long.MAX_VALUE} before the first one.
+   *
+   * <p>An answer is due when the wait of a read ends. Records appended before it was due may be
+   * missing while it is overdue, whether the store refuses reads or a connection is silent.
+   */
+  public long overdueMs() {
+    long heardAtMs = lastHeardAtMs;
+    return heardAtMs == NEVER
+        ? Long.MAX_VALUE
+        : Math.max(0, clock.now() - heardAtMs - pauseMs - waitMs);
+  }
+
   /** Reads from the current position; returns whether there was something to apply. */
   private boolean readAndApply(long maxWaitMs) {
     long readStartedAtMs = clock.now();
@@ -165,6 +180,7 @@
       applyRecords(newRecords, Math.max(nextOffset, readEndOffset));
       if (nextOffset >= read.endOffset()) {
         upToDateAtMs = Math.max(upToDateAtMs, readStartedAtMs);
+        lastHeardAtMs = Math.max(lastHeardAtMs, Math.min(clock.now(), readStartedAtMs + maxWaitMs));
         ready = true;
       }
       return !read.records().isEmpty();
--- a/server/src/test/java/org/marigoldmill/server/store/PartitionFollowerTest.java
+++ b/server/src/test/java/org/marigoldmill/server/store/PartitionFollowerTest.java
@@ -37,6 +37,67 @@
     }
   }
 
+  @Nested
+  class Overdue {
+    @Test
+    void should_be_overdue_from_the_start_when_nothing_was_read() {
+      assertThat(follower.overdueMs()).isEqualTo(Long.MAX_VALUE);
+    }
+
+    @Test
+    void should_not_be_overdue_when_every_wait_ends_in_time() throws InterruptedException {
+      // GIVEN
+      follower.pollOnce();
+      // WHEN
+      for (int i = 0; i < 3; i++) {
+        follower.pollOnce();
+        assertThat(follower.overdueMs()).isZero();
+      }
+    }
+
+    @Test
+    void should_be_overdue_from_the_end_of_the_wait_on_when_the_store_refuses()
+        throws InterruptedException {
+      // GIVEN
+      follower.pollOnce();
+      store.answer = PartitionFollowerTest::refuse;
+      // WHEN
+      follower.pollOnce();
+      nowMs.addAndGet(WAIT_MS + 300);
+      follower.pollOnce();
+      // THEN
+      assertThat(follower.overdueMs()).isEqualTo(300);
+    }
+
+    @Test
+    void should_be_overdue_when_an_answer_was_on_its_way_for_long() throws InterruptedException {
+      // GIVEN
+      follower.pollOnce();
+      store.answer =
+          waitMs -> {
+            nowMs.addAndGet(waitMs + 700);
+            return new LogStore.ReadResult(false, 0, 0, List.of());
+          };
+      // WHEN
+      follower.pollOnce();
+      nowMs.addAndGet(WAIT_MS);
+      // THEN: the store answered when the wait ended, not when the answer arrived
+      assertThat(follower.overdueMs()).isEqualTo(700);
+    }
+
+    @Test
+    void should_be_overdue_when_the_end_is_not_reached() throws InterruptedException {
+      // GIVEN
+      follower.pollOnce();
+      store.answer = waitMs -> new LogStore.ReadResult(false, 0, 9, List.of());
+      // WHEN
+      nowMs.addAndGet(WAIT_MS + 400);
+      follower.pollOnce();
+      // THEN
+      assertThat(follower.overdueMs()).isEqualTo(400);
+    }
+  }
+
   private static LogStore.ReadResult refuse(long waitMs) {
     throw new StoreUnavailableException("read: refused");
   }
