Instances follow only the partitions that they need

Now a replica rests unless its instance owns a model or has items in progress, or a caller waits for records. A request reads a resting partition to its end first, from where it was left; concurrent requests share the read. Readiness needs no partition. The scheduler and the planner of weights do nothing where no model is owned.

--- a/cli/src/test/java/org/marigoldmill/cli/deployment/DeploymentIT.java
+++ b/cli/src/test/java/org/marigoldmill/cli/deployment/DeploymentIT.java
@@ -22,12 +22,16 @@
 import org.junit.jupiter.api.Test;
 import org.marigoldmill.cli.process.ProcessCluster;
 import org.marigoldmill.http.HttpResponse;
+import org.marigoldmill.server.Pause;
 
 /** End-to-end tests of two deployed instances, with stand-ins for the store and the engines. */
 class DeploymentIT {
   /** Time in which an instance notifies the other of a crash. */
   private static final long CRASH_NOTICE_MS = 50;
 
+  /** More than the time for which an instance lets a read wait at the store. */
+  private static final long READ_PERIOD_MS = 2_500;
+
   private DeploymentCluster cluster;
 
   @BeforeEach
@@ -91,6 +95,22 @@
       assertThat(all).extracting(r -> r.get("id").asText()).doesNotHaveDuplicates();
     }
 
+    @Test
+    void should_read_partitions_only_at_the_owner_of_the_model_when_nobody_asks() {
+      // GIVEN
+      assertThat(cluster.post(0, "/batch/s9", "s9", DeploymentCluster.submission()).status())
+          .isEqualTo(202);
+      DeploymentCluster.await(() -> cluster.results(1, "s9", 0).get("next").asInt() == ITEMS);
+      // WHEN, THEN
+      DeploymentCluster.await(() -> peakOfWaitingReads() == StoreStandin.PARTITIONS);
+    }
+
+    private int peakOfWaitingReads() {
+      cluster.store.takePeakWaitingReads("keyed.submissions");
+      Pause.millis(READ_PERIOD_MS);
+      return cluster.store.takePeakWaitingReads("keyed.submissions");
+    }
+
     @Test
     void should_report_no_submission_as_absent_when_the_store_is_unavailable() {
       // GIVEN
--- a/server/src/main/java/org/marigoldmill/server/DeploymentInstance.java
+++ b/server/src/main/java/org/marigoldmill/server/DeploymentInstance.java
@@ -60,6 +60,9 @@
   /** Without the store an instance cannot accept submissions, so it reports itself not ready. */
   private static final long MAX_STORE_OUTAGE_MS = 800;
 
+  /** Callers are refused at once after this time without the store; a single refusal is shorter. */
+  private static final long STORE_LOST_MS = 200;
+
   /** Upper bound for the clock difference between instances. */
   private static final long CLOCK_SKEW_MARGIN_MS = 10_000;
 
@@ -165,7 +168,12 @@
             clock);
     UsageCounter usage = new UsageCounter(settings.getUsageWindowMs(), System::currentTimeMillis);
     SubmissionService submissions =
-        new SubmissionService(partitions, ports.callers(), chunkBytes(), clock);
+        new SubmissionService(
+            partitions,
+            ports.callers(),
+            chunkBytes(),
+            () -> operatorFollower.unreachableMs() >= STORE_LOST_MS,
+            clock);
     this.gateway =
         new Gateway(
             ports.callers(),
@@ -180,6 +188,7 @@
     this.servers = register(new DeploymentServers(settings, gateway, metrics));
     servers.startControlServers(readyPath, this::isReady);
     deployment.addConfigListener(servers::serveCallers);
+    deployment.addConfigListener(config -> partitions.notifyChanged());
     startFollowers();
     startTasks(usage, loads, client);
   }
@@ -203,12 +212,11 @@
     boolean ready = isUsable();
     if (loggedReady.getAndSet(ready) != ready) {
       logger.atInfo().log(
-          "ready=%s stopping=%s config=%s engines=%s partitions=%s store_away_ms=%d",
+          "ready=%s stopping=%s config=%s engines=%s store_away_ms=%d",
           ready,
           draining.get(),
           deployment.config().isPresent(),
           engineFollower.ready(),
-          partitions.ready(),
           operatorFollower.unreachableMs());
     }
     return ready;
@@ -220,8 +228,7 @@
         && deployment.config().isPresent()
         && servers.servesCallers()
         && operatorFollower.unreachableMs() < MAX_STORE_OUTAGE_MS
-        && engineFollower.ready()
-        && partitions.ready();
+        && engineFollower.ready();
   }
 
   /** Stops gracefully; returns once the instance has stopped or its grace period is over. */
@@ -288,6 +295,8 @@
     metrics.registerGauge("open_requests", "Requests in progress", gateway::openRequests);
     metrics.registerGauge(
         "running_items", "Items that are being generated", rollouts::runningAttempts);
+    metrics.registerGauge(
+        "partitions_followed", "Partitions that are followed", partitions::followedCount);
     metrics.registerGauge(
         "config_age_seconds", "Age of the configuration", () -> operatorFollower.ageMs() / 1e3);
   }
@@ -298,7 +307,7 @@
     startTask(0, "fleet", fleet.follower()::pollOnce);
     startTask(0, "lease-log", lease.follower()::pollOnce);
     for (PartitionReplica replica : partitions.replicas()) {
-      startTask(0, "partition", replica.follower()::pollOnce);
+      startTask(0, "partition", replica::pollOnce);
     }
   }
 
--- a/server/src/main/java/org/marigoldmill/server/batch/RolloutScheduler.java
+++ b/server/src/main/java/org/marigoldmill/server/batch/RolloutScheduler.java
@@ -23,6 +23,7 @@
 public final class RolloutScheduler {
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
   private static final long ROUND_INTERVAL_MS = 40;
+  private static final long IDLE_INTERVAL_MS = 500;
   private static final long MOVE_INTERVAL_MS = 200;
   private static final Comparator<ItemTask> OLDEST_FIRST =
       Comparator.comparingLong((ItemTask t) -> t.submission().getAcceptedAtMs())
@@ -57,6 +58,7 @@
   private long reconciledChangeCount = -1;
   private long lastMoveCheckMs;
   private volatile boolean draining;
+  private volatile boolean active;
 
   /**
    * Creates a scheduler.
@@ -87,20 +89,37 @@
     this.clock = clock;
   }
 
-  /** Starts and moves items, then waits for a change; meant to be called in a loop. */
+  /**
+   * Starts and moves items, then waits for a change; meant to be called in a loop.
+   *
+   * <p>Partitions are followed only while this instance owns a model or has items in progress.
+   */
   public void scheduleOnce() {
     long changeCount = partitions.changeCount();
+    boolean needed;
     synchronized (this) {
-      if (reconciledChangeCount != changeCount) {
-        reconcile();
-        reconciledChangeCount = changeCount;
+      needed = !tasks.isEmpty() || allocator.models().stream().anyMatch(membership::ownsModel);
+      partitions.followAll(needed);
+      active = needed && partitions.current();
+      if (active) {
+        runRound(changeCount);
       }
-      startReadyItems();
-      moveSlowRuns();
     }
-    if (partitions.changeCount() == changeCount) {
-      partitions.awaitChange(ROUND_INTERVAL_MS);
+    partitions.awaitChange(changeCount, needed ? ROUND_INTERVAL_MS : IDLE_INTERVAL_MS);
+  }
+
+  /** Returns whether this instance has models or items, and has read the partitions. */
+  boolean active() {
+    return active;
+  }
+
+  private void runRound(long changeCount) {
+    if (reconciledChangeCount != changeCount) {
+      reconcile();
+      reconciledChangeCount = changeCount;
     }
+    startReadyItems();
+    moveSlowRuns();
   }
 
   /** Returns the items that wait for the engines of a model. */
--- a/server/src/main/java/org/marigoldmill/server/batch/SubmissionPartitions.java
+++ b/server/src/main/java/org/marigoldmill/server/batch/SubmissionPartitions.java
@@ -26,8 +26,14 @@
   private static final long APPEND_RETRY_MS = 50;
   private static final long DELETE_TIMEOUT_MS = 2_000;
 
+  /** Time after which partitions that cannot be read no longer hold up work on the others. */
+  private static final long MAX_LOAD_WAIT_MS = 1_000;
+
   private final List<PartitionReplica> replicas;
   private final AtomicLong changeCount = new AtomicLong();
+  private final Clock clock;
+  private boolean followed;
+  private long followedSinceMs;
 
   /**
    * Creates a replica of each partition.
@@ -50,6 +56,7 @@
                 executor,
                 clock,
                 this::notifyChanged);
+    this.clock = clock;
     this.replicas = IntStream.range(0, count).mapToObj(replica).toList();
   }
 
@@ -68,9 +75,30 @@
     return Math.floorMod(name.hashCode(), replicas.size());
   }
 
-  /** Returns whether every partition has been read to its end at least once. */
-  public boolean ready() {
-    return replicas.stream().allMatch(r -> r.follower().ready());
+  /** Follows all partitions until the next call, or lets them rest until they are asked for. */
+  public synchronized void followAll(boolean follow) {
+    if (follow == followed) {
+      return;
+    }
+    logger.atInfo().log("partitions followed=%s count=%d", follow, replicas.size());
+    followed = follow;
+    followedSinceMs = clock.now();
+    replicas.forEach(r -> r.setFollowed(follow));
+  }
+
+  /**
+   * Returns whether all partitions are followed and up to date, as far as they could be read in
+   * reasonable time.
+   */
+  public synchronized boolean current() {
+    return followed
+        && (replicas.stream().allMatch(PartitionReplica::current)
+            || clock.now() - followedSinceMs > MAX_LOAD_WAIT_MS);
+  }
+
+  /** Returns the number of partitions that are followed now. */
+  public long followedCount() {
+    return replicas.stream().filter(PartitionReplica::followed).count();
   }
 
   /** Returns the submissions that are not ended and lack results. */
@@ -93,7 +121,7 @@
     IntStream.range(0, replicas.size())
         .filter(owned)
         .mapToObj(replicas::get)
-        .filter(r -> r.follower().ready())
+        .filter(r -> r.current() || r.follower().catchUp())
         .forEach(
             r -> r.state().endedAcceptedBefore(acceptedBeforeUnixMs).forEach(id -> delete(r, id)));
   }
@@ -113,9 +141,12 @@
     return changeCount.get();
   }
 
-  /** Waits for the next change, at most for a number of milliseconds. */
-  public void awaitChange(long timeoutMs) {
-    long seen = changeCount.get();
+  /**
+   * Waits until the counter of changes exceeds a value, at most for a number of milliseconds.
+   *
+   * @param seen value of the counter before the caller read the state
+   */
+  public void awaitChange(long seen, long timeoutMs) {
     synchronized (changeCount) {
       try {
         if (changeCount.get() == seen && timeoutMs > 0) {
--- a/server/src/main/java/org/marigoldmill/server/batch/WeightPlanner.java
+++ b/server/src/main/java/org/marigoldmill/server/batch/WeightPlanner.java
@@ -52,7 +52,7 @@
   void requestWantedLoads() {
     long now = clock.now();
     requestedAtMs.values().removeIf(at -> now - at >= REPEAT_INTERVAL_MS);
-    if (allocator.models().stream().noneMatch(membership::ownsModel)) {
+    if (!scheduler.active()) {
       return;
     }
     allocator
--- a/server/src/main/java/org/marigoldmill/server/gateway/SubmissionService.java
+++ b/server/src/main/java/org/marigoldmill/server/gateway/SubmissionService.java
@@ -6,6 +6,7 @@
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
+import java.util.function.BooleanSupplier;
 import org.marigoldmill.core.error.ErrorKind;
 import org.marigoldmill.core.error.MarigoldmillException;
 import org.marigoldmill.core.submission.PartitionState;
@@ -36,18 +37,25 @@
   private final SubmissionPartitions partitions;
   private final CallerProtocol protocol;
   private final int chunkBytes;
+  private final BooleanSupplier storeLost;
   private final Clock clock;
 
   /**
    * Creates the service.
    *
    * @param chunkBytes largest size of the items in one record, in bytes
+   * @param storeLost tells whether the store is known not to answer
    */
   public SubmissionService(
-      SubmissionPartitions partitions, CallerProtocol protocol, int chunkBytes, Clock clock) {
+      SubmissionPartitions partitions,
+      CallerProtocol protocol,
+      int chunkBytes,
+      BooleanSupplier storeLost,
+      Clock clock) {
     this.partitions = partitions;
     this.protocol = protocol;
     this.chunkBytes = chunkBytes;
+    this.storeLost = storeLost;
     this.clock = clock;
   }
 
@@ -57,7 +65,7 @@
     PartitionReplica replica = partitions.replicaFor(submission.getId());
     // Fails fast while the store is known to be unreachable.
     PartitionReplica.Result result =
-        replica.follower().unreachableMs() > 0
+        storeLost.getAsBoolean() || replica.unreachable()
             ? PartitionReplica.Result.NOT_DONE
             : commit(replica, s -> s.acceptanceRecords(submission, submitted.items(), chunkBytes));
     logger.atInfo().log(
@@ -89,9 +97,10 @@
   /** Returns a submission; empty only if the store certainly has none for the organisation. */
   private Optional<Submission> findSubmission(
       PartitionReplica replica, String id, String organisation) {
+    boolean caughtUp = !replica.current() && catchUp(replica);
     Optional<Submission> submission = settledState(replica).submission(id);
-    if (submission.isEmpty()) {
-      if (!replica.follower().catchUp()) {
+    if (submission.isEmpty() && !caughtUp) {
+      if (!catchUp(replica)) {
         throw MarigoldmillException.of(
             ErrorKind.LOG_UNAVAILABLE,
             "partition of submission " + id + " could not be read to its end");
@@ -103,7 +112,7 @@
 
   private PartitionState settledState(PartitionReplica replica) {
     boolean usable = replica.follower().ready() && replica.state().contiguous();
-    if (!usable && !(replica.follower().catchUp() && replica.state().contiguous())) {
+    if (!usable && !(catchUp(replica) && replica.state().contiguous())) {
       throw MarigoldmillException.of(
           ErrorKind.LOG_UNAVAILABLE, "partition has not been loaded yet");
     }
@@ -114,11 +123,14 @@
       PartitionReplica replica, Submission submission, CallerProtocol.SubmissionQuery question) {
     long untilMs = clock.now() + Math.min(MAX_WAIT_MS, question.waitMs());
     String id = submission.getId();
+    long changeCount = partitions.changeCount();
     List<ItemResult> results = settledState(replica).results(id);
     while (results.size() <= question.after()
         && results.size() < submission.getItemCount()
         && clock.now() < untilMs) {
-      partitions.awaitChange(untilMs - clock.now());
+      replica.followUntil(untilMs);
+      partitions.awaitChange(changeCount, untilMs - clock.now());
+      changeCount = partitions.changeCount();
       results = settledState(replica).results(id);
     }
     boolean more = results.size() < submission.getItemCount();
@@ -134,8 +146,13 @@
   }
 
   /** Other instances may have shown more results, so only a fresh replica may report none. */
-  private static boolean isFresh(PartitionReplica replica) {
-    return replica.follower().ageMs() <= MAX_REPLICA_AGE_MS || replica.follower().catchUp();
+  private boolean isFresh(PartitionReplica replica) {
+    return replica.follower().ageMs() <= MAX_REPLICA_AGE_MS || catchUp(replica);
+  }
+
+  /** Reads the partition to its end, unless the store is known not to answer. */
+  private boolean catchUp(PartitionReplica replica) {
+    return !storeLost.getAsBoolean() && replica.follower().catchUp();
   }
 
   private static List<ItemResult> firstPage(List<ItemResult> results) {
@@ -153,8 +170,10 @@
 
   private HttpResponse item(PartitionReplica replica, CallerProtocol.SubmissionQuery question) {
     Optional<RolloutItem> item = item(replica.state(), question);
-    if (item.isEmpty()) {
-      if (!replica.follower().catchUp()) {
+    // A replica at rest may not know yet that the item is listed or its submission ended.
+    boolean usable = item.isPresent() && (replica.current() || isFresh(replica));
+    if (!usable) {
+      if (!catchUp(replica)) {
         throw MarigoldmillException.of(
             ErrorKind.LOG_UNAVAILABLE,
             "partition of item " + question.item() + " could not be read to its end");
--- a/server/src/main/java/org/marigoldmill/server/store/PartitionFollower.java
+++ b/server/src/main/java/org/marigoldmill/server/store/PartitionFollower.java
@@ -46,8 +46,11 @@
   private final long pauseMs;
   private final Sink sink;
   private final Clock clock;
+  private final Object loadLock = new Object();
+  private final Object catchUpLock = new Object();
   private long nextOffset;
   private boolean loaded;
+  private volatile long catchUpFailedAtMs = NEVER;
   private volatile long unreachableSinceMs = NEVER;
   private volatile long upToDateAtMs = NEVER;
   private volatile boolean ready;
@@ -77,8 +80,13 @@
 
   /** Reads once and applies the records; meant to be called in a loop. */
   public void pollOnce() throws InterruptedException {
+    pollOnce(waitMs);
+  }
+
+  /** Reads once, waiting at most the given time for records, and applies them. */
+  void pollOnce(long maxWaitMs) throws InterruptedException {
     try {
-      boolean receivedRecords = readAndApply(waitMs);
+      boolean receivedRecords = readAndApply(maxWaitMs);
       markReachable();
       if (receivedRecords && pauseMs > 0) {
         Thread.sleep(pauseMs);
@@ -90,11 +98,30 @@
   }
 
   /**
-   * Applies all records that the partition contained when this method was called.
+   * Applies all records that the partition contained when this method was called. Concurrent calls
+   * share a read.
    *
    * @return false if the store did not answer, or the end was not reached in a few reads
    */
   public boolean catchUp() {
+    long calledAtMs = clock.now();
+    synchronized (catchUpLock) {
+      if (upToDateAtMs > calledAtMs) {
+        return true;
+      }
+      // Waiting for the store once more would delay the refusal.
+      if (catchUpFailedAtMs > calledAtMs) {
+        return false;
+      }
+      boolean caughtUp = readToEnd();
+      if (!caughtUp) {
+        catchUpFailedAtMs = clock.now();
+      }
+      return caughtUp;
+    }
+  }
+
+  private boolean readToEnd() {
     try {
       for (int i = 0; i < MAX_CATCH_UP_READS; i++) {
         long startedAtMs = clock.now();
@@ -122,6 +149,21 @@
     }
   }
 
+  /** Forgets that the store did not answer, because nothing will notice when it does again. */
+  synchronized void stopWatching() {
+    if (unreachableSinceMs != NEVER) {
+      logger.atInfo().log(
+          "dependency not watched name=store topic=%s partition=%d unreachable_ms=%d",
+          topic.name(), partition, unreachableMs());
+      unreachableSinceMs = NEVER;
+    }
+  }
+
+  /** Returns whether the state contains all records that were stored at a time of the clock. */
+  boolean upToDateSince(long timeMs) {
+    return upToDateAtMs != NEVER && upToDateAtMs >= timeMs;
+  }
+
   /** Returns whether the partition has been read to its end at least once. */
   public boolean ready() {
     return ready;
@@ -179,14 +221,19 @@
   }
 
   private void load() {
+    synchronized (loadLock) {
+      if (!isLoaded()) {
+        loadLatest();
+      }
+    }
+  }
+
+  private void loadLatest() {
     LogStore.LatestRecords latest =
         topic.keyed()
             ? store.readLatest(topic, partition)
             : new LogStore.LatestRecords(0, List.of());
     synchronized (this) {
-      if (loaded) {
-        return;
-      }
       nextOffset = latest.nextOffset();
       sink.load(
           () -> {
--- a/server/src/main/java/org/marigoldmill/server/store/PartitionReplica.java
+++ b/server/src/main/java/org/marigoldmill/server/store/PartitionReplica.java
@@ -23,12 +23,21 @@
  * that the partition still ends where this replica does. If another process has appended first, the
  * changes are recomputed from the newer state. An append whose outcome is unknown is resolved the
  * same way, so a change takes effect at most once.
+ *
+ * <p>The replica rests until it is to be followed. While it rests, its state is that of the last
+ * read, and {@link PartitionFollower#catchUp()} continues from there.
  */
 public final class PartitionReplica {
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
   private static final int MAX_PENDING_CHANGES = 4_096;
   private static final int MAX_BATCH_CHANGES = 256;
 
+  /** Age of the state above which a read precedes an append, since the append would likely fail. */
+  private static final long MAX_APPEND_AGE_MS = 400;
+
+  /** Time that a partition is followed after a failed read, to notice when the store answers. */
+  private static final long WATCH_AFTER_FAILURE_MS = 1_000;
+
   /** Computes the records to append; none if the state already contains the change. */
   @FunctionalInterface
   public interface Change extends Function<PartitionState, List<KeyedRecord>> {}
@@ -63,6 +72,8 @@
   private final long retryMs;
   private final PartitionState state = new PartitionState();
   private final PartitionFollower follower;
+  private final FollowDemand demand;
+  private final long waitMs;
   private final Executor executor;
   private final Clock clock;
   private final Runnable onChange;
@@ -97,6 +108,8 @@
     this.executor = executor;
     this.clock = clock;
     this.onChange = onChange;
+    this.waitMs = waitMs;
+    this.demand = new FollowDemand(clock);
     this.follower =
         new PartitionFollower(store, topic, partition, waitMs, 0, new StateSink(), clock);
   }
@@ -111,6 +124,40 @@
     return follower;
   }
 
+  /** Follows the partition until the next call, or lets it rest. */
+  public void setFollowed(boolean followed) {
+    demand.setContinuous(followed);
+  }
+
+  /** Follows the partition at least until a time of the clock. */
+  public void followUntil(long timeMs) {
+    demand.extendTo(timeMs);
+  }
+
+  /** Returns whether the partition is to be followed now. */
+  public boolean followed() {
+    return demand.remainingMs() > 0;
+  }
+
+  /** Returns whether the partition is followed and has been read to its end since that began. */
+  public boolean current() {
+    return followed() && follower.upToDateSince(demand.sinceMs());
+  }
+
+  /** Returns whether the store is known not to answer for this partition. */
+  public boolean unreachable() {
+    return followed() && follower.unreachableMs() > 0;
+  }
+
+  /** Waits until the partition is to be followed, then reads once; meant to be called in a loop. */
+  public void pollOnce() throws InterruptedException {
+    if (!followed()) {
+      follower.stopWatching();
+      demand.await();
+    }
+    follower.pollOnce(Math.min(waitMs, demand.remainingMs()));
+  }
+
   /**
    * Commits a change to the partition.
    *
@@ -149,7 +196,8 @@
   private void commitBatch(List<PendingChange> batch) {
     List<PendingChange> remaining = new ArrayList<>(batch);
     while (!remaining.isEmpty()) {
-      if (!follower.ready() && !follower.catchUp()) {
+      if (outdated() && !follower.catchUp()) {
+        followUntil(clock.now() + WATCH_AFTER_FAILURE_MS);
         Pause.millis(retryMs);
       } else {
         tryAppend(remaining);
@@ -158,6 +206,10 @@
     }
   }
 
+  private boolean outdated() {
+    return !follower.ready() || (!current() && follower.ageMs() > MAX_APPEND_AGE_MS);
+  }
+
   /** Appends the records of the remaining changes, and removes those that are then stored. */
   private void tryAppend(List<PendingChange> remaining) {
     final long endOffset;
