--- a/server/src/main/java/org/marigoldmill/server/DeploymentInstance.java
+++ b/server/src/main/java/org/marigoldmill/server/DeploymentInstance.java
@@ -1,5 +1,7 @@
 package org.marigoldmill.server;
 
+import static java.time.Duration.ZERO;
+
 import com.google.common.flogger.FluentLogger;
 import java.util.ArrayDeque;
 import java.util.Deque;
@@ -37,6 +39,8 @@
 import org.marigoldmill.server.gateway.SubmissionService;
 import org.marigoldmill.server.gateway.UpstreamPicker;
 import org.marigoldmill.server.gateway.UpstreamSender;
+import org.marigoldmill.server.store.LogStore;
+import org.marigoldmill.server.store.MeteredLogStore;
 import org.marigoldmill.server.store.PartitionFollower;
 import org.marigoldmill.server.store.PartitionReplica;
 
@@ -104,12 +108,13 @@
     this.ports = ports;
     this.deployment = new DeploymentState(ports.codec());
     this.engines = new EngineRegistry(ports.codec(), upstreams, versions);
+    LogStore store = new MeteredLogStore(ports.store(), metrics::recordStoreCall);
     this.operatorFollower =
         new PartitionFollower(
-            ports.store(), ports.operatorTopic(), 0, OPERATOR_READ_WAIT_MS, 0, deployment, clock);
+            store, ports.operatorTopic(), 0, OPERATOR_READ_WAIT_MS, 0, deployment, clock);
     this.engineFollower =
         new PartitionFollower(
-            ports.store(),
+            store,
             ports.engineTopic(),
             0,
             ENGINE_READ_WAIT_MS,
@@ -119,16 +124,15 @@
     String process = settings.getInstance() + "#" + System.currentTimeMillis();
     this.partitions =
         new SubmissionPartitions(
-            ports.store(),
+            store,
             settings.getPartitions(),
             (int) settings.getCallBytes(),
             pool("append", settings.getPartitions()),
             clock);
-    this.membership =
-        new RolloutMembership(ports.store(), process, settings.getGroupTtlMs(), partitions);
+    this.membership = new RolloutMembership(store, process, settings.getGroupTtlMs(), partitions);
     this.lease =
         new DutyLeaseHolder(
-            ports.store(),
+            store,
             process,
             settings.getLeaseTtlMs(),
             settings.getTurnGuardMs(),
@@ -137,7 +141,7 @@
     final LoadQueue loads = new LoadQueue(settings.getParallelLoads());
     this.fleet =
         new FleetLog(
-            ports.store(),
+            store,
             settings.getInstance(),
             engines,
             versions,
@@ -297,6 +301,10 @@
         "running_items", "Items that are being generated", rollouts::runningAttempts);
     metrics.registerGauge(
         "partitions_followed", "Partitions that are followed", partitions::followedCount);
+    metrics.registerGauge(
+        "process_cpu_seconds",
+        "Processor time of the process since its start",
+        () -> ProcessHandle.current().info().totalCpuDuration().orElse(ZERO).toMillis() / 1e3);
     metrics.registerGauge(
         "config_age_seconds", "Age of the configuration", () -> operatorFollower.ageMs() / 1e3);
   }
--- a/server/src/main/java/org/marigoldmill/server/Metrics.java
+++ b/server/src/main/java/org/marigoldmill/server/Metrics.java
@@ -40,6 +40,18 @@
           .labelNames("job", "outcome")
           .register(registry);
 
+  private final Counter storeCallsTotal =
+      Counter.builder()
+          .name(PREFIX + "store_calls_total")
+          .help("Calls to the store by kind and by topic or group")
+          .labelNames("kind", "name")
+          .register(registry);
+
+  /** Counts a call to the store. */
+  public void recordStoreCall(String kind, String name) {
+    storeCallsTotal.labelValues(kind, name).inc();
+  }
+
   /** Counts a call and records its duration, given in milliseconds. */
   public void recordCall(String service, String organisation, String outcome, long durationMs) {
     callsTotal.labelValues(service, organisation, outcome).inc();
