--- a/server/src/main/java/org/marigoldmill/server/Metrics.java
+++ b/server/src/main/java/org/marigoldmill/server/Metrics.java
@@ -46,6 +46,18 @@
           .help("Responses whose connection was closed before they could be sent")
           .register(registry);
 
+  private final Counter storeCallsTotal =
+      Counter.builder()
+          .name(PREFIX + "store_calls_total")
+          .help("Calls to the store by kind and by topic or group")
+          .labelNames("kind", "name")
+          .register(registry);
+
+  /** Counts a call to the store. */
+  public void recordStoreCall(String kind, String name) {
+    storeCallsTotal.labelValues(kind, name).inc();
+  }
+
   /** Counts a call and records its duration, given in milliseconds. */
   public void recordCall(String service, String organisation, String outcome, long durationMs) {
     callsTotal.labelValues(service, organisation, outcome).inc();
