Be ready only while the configuration is certainly current

Callers reached instances that called themselves ready with a configuration ten seconds old.

Readiness now asks how long the configuration is overdue, which a trimmed history that cannot be loaded does not reset. A missing key is refused under the same condition as an unknown one.

--- a/server/src/main/java/org/marigoldmill/server/DeploymentInstance.java
+++ b/server/src/main/java/org/marigoldmill/server/DeploymentInstance.java
@@ -204,13 +204,13 @@
     boolean ready = isUsable();
     if (loggedReady.getAndSet(ready) != ready) {
       logger.atInfo().log(
-          "ready=%s stopping=%s config=%s engines=%s partitions=%s store_away_ms=%d",
+          "ready=%s stopping=%s config=%s engines=%s partitions=%s config_overdue_ms=%d",
           ready,
           draining.get(),
           deployment.config().isPresent(),
           engineFollower.ready(),
           partitions.ready(),
-          operatorFollower.unreachableMs());
+          operatorFollower.overdueMs());
     }
     return ready;
   }
@@ -220,7 +220,7 @@
     return !draining.get()
         && deployment.config().isPresent()
         && servers.servesCallers()
-        && operatorFollower.unreachableMs() < MAX_STORE_OUTAGE_MS
+        && operatorFollower.overdueMs() < MAX_STORE_OUTAGE_MS
         && engineFollower.ready()
         && partitions.ready();
   }
--- a/server/src/main/java/org/marigoldmill/server/gateway/Gateway.java
+++ b/server/src/main/java/org/marigoldmill/server/gateway/Gateway.java
@@ -275,8 +275,7 @@
     String key =
         protocol
             .apiKey(exchange)
-            .orElseThrow(
-                () -> MarigoldmillException.of(ErrorKind.KEY_MISSING, "request without key"));
+            .orElseThrow(() -> refusal(ErrorKind.KEY_MISSING, "request without key", config));
     return config
         .organisation(key)
         .orElseThrow(() -> refusal(ErrorKind.KEY_UNKNOWN, "unknown key", config));
--- a/server/src/main/java/org/marigoldmill/server/store/PartitionFollower.java
+++ b/server/src/main/java/org/marigoldmill/server/store/PartitionFollower.java
@@ -13,6 +13,7 @@
 public final class PartitionFollower {
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
   private static final long STORE_RETRY_MS = 100;
+  private static final long LATE_ANSWER_MS = 500;
   private static final int MAX_CATCH_UP_READS = 8;
   private static final long NEVER = Long.MIN_VALUE;
 
@@ -165,6 +166,7 @@
     }
     long fromOffset = nextOffset();
     LogStore.ReadResult read = store.read(topic, partition, fromOffset, ready ? maxWaitMs : 0);
+    logIfLate(clock.now() - readStartedAtMs, maxWaitMs);
     if (read.trimmed()) {
       skipTrimmedRecords(fromOffset, read.firstOffset());
       return true;
@@ -187,6 +189,14 @@
     }
   }
 
+  private void logIfLate(long elapsedMs, long maxWaitMs) {
+    if (elapsedMs > maxWaitMs + LATE_ANSWER_MS) {
+      logger.atInfo().log(
+          "store answered late topic=%s partition=%d ms=%d wait_ms=%d",
+          topic.name(), partition, elapsedMs, maxWaitMs);
+    }
+  }
+
   private synchronized boolean isLoaded() {
     return loaded;
   }
--- a/server/src/test/java/org/marigoldmill/server/store/PartitionFollowerTest.java
+++ b/server/src/test/java/org/marigoldmill/server/store/PartitionFollowerTest.java
@@ -85,6 +85,20 @@
       assertThat(follower.overdueMs()).isEqualTo(700);
     }
 
+    @Test
+    void should_be_overdue_when_the_history_was_trimmed_and_cannot_be_loaded()
+        throws InterruptedException {
+      // GIVEN
+      follower.pollOnce();
+      store.answer = waitMs -> new LogStore.ReadResult(true, 8, 8, List.of());
+      nowMs.addAndGet(WAIT_MS + 10_000);
+      // WHEN
+      follower.pollOnce();
+      // THEN: the store answers, but not with what is missing
+      assertThat(follower.unreachableMs()).isZero();
+      assertThat(follower.overdueMs()).isEqualTo(10_000);
+    }
+
     @Test
     void should_be_overdue_when_the_end_is_not_reached() throws InterruptedException {
       // GIVEN
