--- a/server/src/main/java/org/marigoldmill/server/store/PartitionFollower.java
+++ b/server/src/main/java/org/marigoldmill/server/store/PartitionFollower.java
@@ -160,13 +160,16 @@
 
   /** Reads from the current position; returns whether there was something to apply. */
   private boolean readAndApply(long maxWaitMs) {
-    long readStartedAtMs = clock.now();
-    if (!isLoaded()) {
+    boolean loadedBefore = isLoaded();
+    if (!loadedBefore) {
       load();
     }
+    // A read that waits would confirm only late that the load is complete.
+    long readWaitMs = loadedBefore && ready ? maxWaitMs : 0;
+    long readStartedAtMs = clock.now();
     long fromOffset = nextOffset();
-    LogStore.ReadResult read = store.read(topic, partition, fromOffset, ready ? maxWaitMs : 0);
-    logIfLate(clock.now() - readStartedAtMs, maxWaitMs);
+    LogStore.ReadResult read = store.read(topic, partition, fromOffset, readWaitMs);
+    logIfLate(clock.now() - readStartedAtMs, readWaitMs);
     if (read.trimmed()) {
       skipTrimmedRecords(fromOffset, read.firstOffset());
       return true;
@@ -182,7 +185,8 @@
       applyRecords(newRecords, Math.max(nextOffset, readEndOffset));
       if (nextOffset >= read.endOffset()) {
         upToDateAtMs = Math.max(upToDateAtMs, readStartedAtMs);
-        lastHeardAtMs = Math.max(lastHeardAtMs, Math.min(clock.now(), readStartedAtMs + maxWaitMs));
+        lastHeardAtMs =
+            Math.max(lastHeardAtMs, Math.min(clock.now(), readStartedAtMs + readWaitMs));
         ready = true;
       }
       return !read.records().isEmpty();
--- a/server/src/test/java/org/marigoldmill/server/store/PartitionFollowerTest.java
+++ b/server/src/test/java/org/marigoldmill/server/store/PartitionFollowerTest.java
@@ -37,6 +37,24 @@
     }
   }
 
+  @Nested
+  class AfterALoad {
+    @Test
+    void should_not_wait_for_a_record_when_the_history_was_trimmed() throws InterruptedException {
+      // GIVEN
+      follower.pollOnce();
+      store.answer = waitMs -> new LogStore.ReadResult(true, 8, 8, List.of());
+      nowMs.addAndGet(WAIT_MS + 700);
+      follower.pollOnce();
+      // WHEN
+      store.answer = PartitionFollowerTest::answerEmpty;
+      follower.pollOnce();
+      // THEN
+      assertThat(store.waitsMs).containsExactly(0L, WAIT_MS, 0L);
+      assertThat(follower.overdueMs()).isZero();
+    }
+  }
+
   @Nested
   class Overdue {
     @Test
