--- a/cli/src/test/resources/org/marigoldmill/cli/promises/13-graceful.feature
+++ b/cli/src/test/resources/org/marigoldmill/cli/promises/13-graceful.feature
@@ -19,6 +19,6 @@
     Given the system
     When the first half of a call to "lookups" is sent to "a1"
     And "a1" receives SIGTERM
-    And the second half follows after 1500 ms
+    And the second half follows after 4000 ms
     Then the call in halves gets status 200
     And "a1" has exited with code 0
