--- a/server/src/main/java/org/marigoldmill/server/Metrics.java
+++ b/server/src/main/java/org/marigoldmill/server/Metrics.java
@@ -10,7 +10,12 @@
 import java.io.UncheckedIOException;
 import java.util.function.DoubleSupplier;
 
-/** Prometheus metrics of one entry instance. */
+/**
+ * Prometheus metrics of one entry instance.
+ *
+ * <p>Without exemplars: the text format has none, and sampling them wakes a thread for each
+ * counter.
+ */
 public final class Metrics {
   private static final String PREFIX = "marigoldmill_";
 
@@ -20,24 +25,28 @@
           .name(PREFIX + "calls_total")
           .help("Calls by service, organisation and outcome")
           .labelNames("service", "organisation", "outcome")
+          .withoutExemplars()
           .register(registry);
   private final Histogram callSeconds =
       Histogram.builder()
           .name(PREFIX + "call_seconds")
           .help("Duration of calls by service")
           .labelNames("service")
+          .withoutExemplars()
           .register(registry);
   private final Counter retriesTotal =
       Counter.builder()
           .name(PREFIX + "repeated_attempts_total")
           .help("Attempts beyond the first, by service")
           .labelNames("service")
+          .withoutExemplars()
           .register(registry);
   private final Counter samplesTotal =
       Counter.builder()
           .name(PREFIX + "samples_total")
           .help("Samples by job and what became of them")
           .labelNames("job", "outcome")
+          .withoutExemplars()
           .register(registry);
 
   private final Counter storeCallsTotal =
@@ -45,6 +54,7 @@
           .name(PREFIX + "store_calls_total")
           .help("Calls to the store by kind and by topic or group")
           .labelNames("kind", "name")
+          .withoutExemplars()
           .register(registry);
 
   /** Counts a call to the store. */
