Soak of deployed instances under random faults and planned work

First version: seeded schedules, callers that keep their connections, the balancer, and the checks of LOST, MIXED, TWICE, REFUSED, DENIED, CONFIG, submissions and stops.

--- a/cli/src/test/java/org/marigoldmill/cli/deployment/DeploymentCluster.java
+++ b/cli/src/test/java/org/marigoldmill/cli/deployment/DeploymentCluster.java
@@ -24,8 +24,8 @@
 import org.marigoldmill.http.HttpResponse;
 
 /** Two instances in separate processes, with stand-ins for the platform's store and engines. */
-final class DeploymentCluster implements AutoCloseable {
-  static final ObjectMapper MAPPER = new ObjectMapper();
+public final class DeploymentCluster implements AutoCloseable {
+  public static final ObjectMapper MAPPER = new ObjectMapper();
   static final int EVENTS = 6;
   static final int ITEMS = 12;
   static final int HEADER_BYTES = 8 * 1024;
@@ -148,7 +148,8 @@
     return submission("item");
   }
 
-  static ObjectNode submission(String prefix) {
+  /** Returns a submission whose items have ids with a prefix. */
+  public static ObjectNode submission(String prefix) {
     ObjectNode body = MAPPER.createObjectNode();
     body.put("step", 0).put("model", "m").put("min_version", 1).put("desired", 3);
     ArrayNode items = body.putArray("items");
@@ -163,7 +164,8 @@
     return body;
   }
 
-  static ObjectNode config(long version) {
+  /** Returns the configuration of all routes, services and organisations. */
+  public static ObjectNode config(long version) {
     ObjectNode config = MAPPER.createObjectNode().put("version", version);
     config
         .putObject("limits")
@@ -192,7 +194,8 @@
     return config;
   }
 
-  private static ObjectNode route(ArrayNode routes, String prefix, String kind, String service) {
+  /** Adds a route. */
+  public static ObjectNode route(ArrayNode routes, String prefix, String kind, String service) {
     ObjectNode route = routes.addObject().put("name", prefix).put("host", "h");
     return route
         .put("path_prefix", prefix)
--- a/cli/src/test/java/org/marigoldmill/cli/deployment/EngineStandin.java
+++ b/cli/src/test/java/org/marigoldmill/cli/deployment/EngineStandin.java
@@ -16,15 +16,20 @@
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
 import org.marigoldmill.http.HttpServer;
 import org.xnio.IoUtils;
 
 /** Stand-in for an engine that streams events, accepts weight orders and scores texts. */
-final class EngineStandin implements AutoCloseable {
+public final class EngineStandin implements AutoCloseable {
   private static final ObjectMapper MAPPER = new ObjectMapper();
   private static final int WORKERS = 32;
   private static final String SCORE_PREFIX = "score-of-";
 
+  /** Marks paths whose answers name the request; the number after it is the time of the run. */
+  private static final String ECHO_SEGMENT = "/echo/";
+
   /** A weight order as received. */
   record Order(long version, long fence, String holder) {}
 
@@ -40,7 +45,7 @@
   private final AtomicBoolean closed = new AtomicBoolean();
   private final HttpServer server;
 
-  EngineStandin(String id, String model, int events, long eventMs) {
+  public EngineStandin(String id, String model, int events, long eventMs) {
     this.id = id;
     this.model = model;
     this.events = events;
@@ -54,19 +59,35 @@
 
   /** Returns the text that a run with this number of events yields if it is not cut short. */
   static String completeText(int events) {
-    StringBuilder text = new StringBuilder();
-    for (int i = 1; i <= events; i++) {
-      text.append(i > 1 ? "\n" : "").append("piece ").append(i);
-    }
-    return text.toString();
+    return completeText(events, "");
+  }
+
+  /** Returns the text of a complete run on a path whose events name the request. */
+  public static String echoText(int events, String request) {
+    return completeText(events, " of " + request);
+  }
+
+  private static String completeText(int events, String suffix) {
+    return IntStream.rangeClosed(1, events)
+        .mapToObj(i -> "piece " + i + suffix)
+        .collect(Collectors.joining("\n"));
   }
 
-  static String score(String request) {
+  /** Returns the answer to a request on a path that asks for its id. */
+  public static String echo(String request) {
+    return "answer to " + request;
+  }
+
+  public static String score(String request) {
     return SCORE_PREFIX + request;
   }
 
+  public String address() {
+    return server.address();
+  }
+
   /** Returns the entry by which the engine registers in the store. */
-  ObjectNode entry(String service) {
+  public ObjectNode entry(String service) {
     ObjectNode entry = MAPPER.createObjectNode();
     entry.put("service", service).put("address", server.address()).put("zone", "a");
     entry.put("slots", 4).put("state", "ready").put("seq", 17).put("born", 1);
@@ -79,7 +100,7 @@
   }
 
   /** Returns the ids of the requests that have started to run. */
-  List<String> startedRequests() {
+  public List<String> startedRequests() {
     return List.copyOf(startedRequests);
   }
 
@@ -120,7 +141,7 @@
       return;
     }
     try {
-      answer(exchange, path);
+      answer(exchange, path, request);
     } catch (IOException e) {
       abortedRequests.add(request);
       throw e;
@@ -138,7 +159,13 @@
     throw new IOException("crashed");
   }
 
-  private void answer(HttpServerExchange exchange, String path) throws IOException {
+  private void answer(HttpServerExchange exchange, String path, String request) throws IOException {
+    int echo = path.indexOf(ECHO_SEGMENT);
+    if (!path.startsWith("/gen/") && echo >= 0) {
+      pause(Long.parseLong(path.substring(echo + ECHO_SEGMENT.length())));
+      exchange.getOutputStream().write(echo(request).getBytes(UTF_8));
+      return;
+    }
     if (!path.startsWith("/gen/")) {
       exchange.getOutputStream().write("answer".getBytes(UTF_8));
       return;
@@ -156,9 +183,10 @@
         exchange.getConnection().close();
         return;
       }
-      out.write(("id: " + i + "\ndata: piece " + i + "\n\n").getBytes(UTF_8));
+      String suffix = echo >= 0 ? " of " + request : "";
+      out.write(("id: " + i + "\ndata: piece " + i + suffix + "\n\n").getBytes(UTF_8));
       out.flush();
-      awaitNextEvent();
+      pause(eventIntervalMs);
     }
   }
 
@@ -183,9 +211,9 @@
     exchange.getOutputStream().write(report.toString().getBytes(UTF_8));
   }
 
-  private void awaitNextEvent() {
+  private static void pause(long millis) {
     try {
-      Thread.sleep(eventIntervalMs);
+      Thread.sleep(millis);
     } catch (InterruptedException e) {
       Thread.currentThread().interrupt();
     }
--- a/cli/src/test/java/org/marigoldmill/cli/deployment/StoreStandin.java
+++ b/cli/src/test/java/org/marigoldmill/cli/deployment/StoreStandin.java
@@ -12,70 +12,119 @@
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.Base64;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
+import java.util.concurrent.ConcurrentHashMap;
 import org.marigoldmill.http.HttpResponse;
 import org.marigoldmill.http.HttpServer;
 
 /** Stand-in for the store: partitions, conditional appends, keyed topics, consumer groups. */
-final class StoreStandin implements AutoCloseable {
+public final class StoreStandin implements AutoCloseable {
   private static final ObjectMapper MAPPER = new ObjectMapper();
   private static final int PARTITIONS = 12;
   private static final int WORKERS = 96;
   private static final long MEMBER_TTL_MS = 1_500;
 
-  private final Map<String, List<byte[]>> partitions = new LinkedHashMap<>();
+  /** What happens to the calls of instances. */
+  public enum Condition {
+    SERVING,
+    /** Every call, including waiting reads, is answered 503. */
+    REFUSING,
+    /** Appends may be carried out; no call is answered until the condition changes. */
+    SILENT
+  }
+
+  private final Map<String, List<byte[]>> partitions = new ConcurrentHashMap<>();
   private final Map<String, Long> members = new TreeMap<>();
   private final HttpServer server;
   private List<String> memberNames = List.of();
   private long generation;
-  private volatile boolean unavailable;
+  private volatile Condition condition = Condition.SERVING;
+  private volatile long delayMs;
+
+  public StoreStandin() {
+    this(WORKERS);
+  }
 
-  StoreStandin() {
+  /** Starts a store that can hold as many calls open as it has workers. */
+  public StoreStandin(int workers) {
     server =
         HttpServer.forAddress("127.0.0.1:0")
-            .workerThreads(WORKERS)
-            .post("/-/log-append", unlessUnavailable(this::append))
-            .get("/-/log-read", unlessUnavailable(this::read))
-            .get("/-/log-newest", unlessUnavailable(this::newest))
-            .post("/-/log-join", unlessUnavailable(this::joinGroup))
-            .post("/-/log-leave", unlessUnavailable(this::leaveGroup))
+            .workerThreads(workers)
+            .post("/-/log-append", subjectToCondition(this::append))
+            .get("/-/log-read", subjectToCondition(this::read))
+            .get("/-/log-newest", subjectToCondition(this::newest))
+            .post("/-/log-join", subjectToCondition(this::joinGroup))
+            .post("/-/log-leave", subjectToCondition(this::leaveGroup))
             .start();
   }
 
   /** Makes the store refuse every call, including waiting reads, or serve again. */
-  synchronized void unavailable(boolean now) {
-    unavailable = now;
+  void unavailable(boolean now) {
+    condition(now ? Condition.REFUSING : Condition.SERVING);
+  }
+
+  /** Sets what happens to the calls of instances; does not affect {@link #put}. */
+  public synchronized void condition(Condition next) {
+    condition = next;
     notifyAll();
+    partitions.values().forEach(StoreStandin::wakeReaders);
   }
 
-  private HttpServer.RouteHandler unlessUnavailable(HttpServer.RouteHandler route) {
+  /** Delays every call of an instance. */
+  public void delay(long millis) {
+    delayMs = millis;
+  }
+
+  private HttpServer.RouteHandler subjectToCondition(HttpServer.RouteHandler route) {
     return request -> {
-      if (unavailable) {
-        return new HttpResponse(503, List.of(), new byte[0]);
+      try {
+        Thread.sleep(delayMs);
+        HttpResponse refusal = new HttpResponse(503, List.of(), new byte[0]);
+        if (condition == Condition.REFUSING) {
+          return refusal;
+        }
+        HttpResponse answer = route.respond(request);
+        awaitAnswering();
+        return condition == Condition.REFUSING ? refusal : answer;
+      } catch (InterruptedException e) {
+        Thread.currentThread().interrupt();
+        throw new IOException("interrupted", e);
       }
-      HttpResponse answer = route.respond(request);
-      return unavailable ? new HttpResponse(503, List.of(), new byte[0]) : answer;
     };
   }
 
-  String address() {
+  private synchronized void awaitAnswering() throws InterruptedException {
+    while (condition == Condition.SILENT) {
+      wait();
+    }
+  }
+
+  private static void wakeReaders(List<byte[]> log) {
+    synchronized (log) {
+      log.notifyAll();
+    }
+  }
+
+  public String address() {
     return server.address();
   }
 
   /**
    * Appends a record to a keyed topic as an engine, trainer or operator does; null is a tombstone.
    */
-  synchronized void put(String topic, String key, JsonNode value) {
+  public void put(String topic, String key, JsonNode value) {
     byte[] name = key.getBytes(UTF_8);
     ByteArrayOutputStream content = new ByteArrayOutputStream();
     content.write(name.length);
     content.writeBytes(name);
     content.writeBytes(value == null ? new byte[0] : value.toString().getBytes(UTF_8));
-    partition("keyed." + topic, 0).add(content.toByteArray());
-    notifyAll();
+    List<byte[]> log = partition("keyed." + topic, 0);
+    synchronized (log) {
+      log.add(content.toByteArray());
+      log.notifyAll();
+    }
   }
 
   @Override
@@ -83,35 +132,43 @@
     server.close();
   }
 
-  private synchronized HttpResponse append(HttpServer.Request request) {
+  private HttpResponse append(HttpServer.Request request) {
     List<byte[]> log = partition(request);
-    long end = log.size();
-    if (request.query("at").isPresent() && request.queryLong("at", -1) != end) {
-      return json(412, MAPPER.createObjectNode().put("end", end));
-    }
-    ByteBuffer in = ByteBuffer.wrap(request.body());
-    while (in.remaining() >= Integer.BYTES) {
-      byte[] content = new byte[in.getInt()];
-      in.get(content);
-      log.add(content);
+    synchronized (log) {
+      long end = log.size();
+      if (request.query("at").isPresent() && request.queryLong("at", -1) != end) {
+        return json(412, MAPPER.createObjectNode().put("end", end));
+      }
+      ByteBuffer in = ByteBuffer.wrap(request.body());
+      while (in.remaining() >= Integer.BYTES) {
+        byte[] content = new byte[in.getInt()];
+        in.get(content);
+        log.add(content);
+      }
+      log.notifyAll();
+      return json(200, MAPPER.createObjectNode().put("offset", end).put("end", log.size()));
     }
-    notifyAll();
-    return json(200, MAPPER.createObjectNode().put("offset", end).put("end", log.size()));
   }
 
-  private synchronized HttpResponse read(HttpServer.Request request) {
+  private HttpResponse read(HttpServer.Request request) {
     List<byte[]> log = partition(request);
     int from = (int) request.queryLong("from", 0);
     long until = System.currentTimeMillis() + request.queryLong("wait_ms", 0);
-    try {
-      for (long left = until - System.currentTimeMillis();
-          log.size() <= from && left > 0 && !unavailable;
-          left = until - System.currentTimeMillis()) {
-        wait(left);
+    synchronized (log) {
+      try {
+        for (long left = until - System.currentTimeMillis();
+            log.size() <= from && left > 0 && condition == Condition.SERVING;
+            left = until - System.currentTimeMillis()) {
+          log.wait(left);
+        }
+      } catch (InterruptedException e) {
+        Thread.currentThread().interrupt();
       }
-    } catch (InterruptedException e) {
-      Thread.currentThread().interrupt();
+      return recordsFrom(log, from);
     }
+  }
+
+  private static HttpResponse recordsFrom(List<byte[]> log, int from) {
     ByteArrayOutputStream out = new ByteArrayOutputStream();
     out.writeBytes(ByteBuffer.allocate(2 * Long.BYTES).putLong(log.size()).putLong(0).array());
     for (byte[] content : log.subList(Math.min(from, log.size()), log.size())) {
@@ -121,8 +178,14 @@
     return new HttpResponse(200, List.of(), out.toByteArray());
   }
 
-  private synchronized HttpResponse newest(HttpServer.Request request) {
+  private HttpResponse newest(HttpServer.Request request) {
     List<byte[]> log = partition(request);
+    synchronized (log) {
+      return newest(log);
+    }
+  }
+
+  private static HttpResponse newest(List<byte[]> log) {
     Map<String, ObjectNode> newest = new TreeMap<>();
     for (int offset = 0; offset < log.size(); offset++) {
       byte[] content = log.get(offset);
--- a/cli/src/test/java/org/marigoldmill/cli/process/Relay.java
+++ b/cli/src/test/java/org/marigoldmill/cli/process/Relay.java
@@ -10,7 +10,7 @@
 import java.util.List;
 import java.util.concurrent.CopyOnWriteArrayList;
 
-/** A TCP relay between two processes whose connections a test can close or silence. */
+/** A TCP relay between two processes whose connections a test can delay, reset or silence. */
 public final class Relay implements AutoCloseable {
   private static final int CHUNK_BYTES = 16 * 1024;
 
@@ -26,6 +26,8 @@
   private final List<Connection> connections = new CopyOnWriteArrayList<>();
   private final List<Socket> silenced = new CopyOnWriteArrayList<>();
   private volatile State state = State.OPEN;
+  private volatile boolean answersDropped;
+  private volatile long delayMs;
 
   public Relay(String target) {
     this.target = target;
@@ -63,6 +65,25 @@
         });
   }
 
+  /** Resets all connections; new connections work. */
+  public void resetOpenConnections() {
+    connections.forEach(
+        c -> {
+          reset(c.from());
+          reset(c.to());
+        });
+  }
+
+  /** Delays each chunk of data in both directions. */
+  public void delay(long millis) {
+    delayMs = millis;
+  }
+
+  /** Discards data from the target, or forwards it on connections that have lost none. */
+  public void dropAnswers(boolean dropped) {
+    answersDropped = dropped;
+  }
+
   @Override
   public void close() {
     cut();
@@ -109,6 +130,10 @@
       InputStream in = source.getInputStream();
       OutputStream out = sink.getOutputStream();
       for (int n = in.read(chunk); n >= 0; n = in.read(chunk)) {
+        Thread.sleep(delayMs);
+        if (answersDropped && source == link.to()) {
+          silenced.add(source);
+        }
         if (!silenced.contains(source)) {
           out.write(chunk, 0, n);
           out.flush();
@@ -119,6 +144,8 @@
       }
     } catch (IOException e) {
       close(link);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
     } finally {
       connections.remove(link);
     }
@@ -133,6 +160,15 @@
     }
   }
 
+  private static void reset(Socket socket) {
+    try {
+      socket.setSoLinger(true, 0);
+      socket.close();
+    } catch (IOException e) {
+      throw new UncheckedIOException(e);
+    }
+  }
+
   private static void startDaemon(Runnable work) {
     Thread thread = new Thread(work, "relay");
     thread.setDaemon(true);
--- a/cli/src/test/java/org/marigoldmill/cli/process/SpawnedProcess.java
+++ b/cli/src/test/java/org/marigoldmill/cli/process/SpawnedProcess.java
@@ -16,7 +16,7 @@
   private final List<String> command;
   private final Path directory;
   private final String javaOptions;
-  private Process process;
+  private volatile Process process;
 
   SpawnedProcess(String name, Path directory, String javaOptions, List<String> command) {
     this.name = name;
@@ -71,8 +71,13 @@
 
   /** Returns whether the process exits within 40 s. */
   public boolean awaitExit() {
+    return awaitExit(TimeUnit.SECONDS.toMillis(EXIT_WAIT_SECONDS));
+  }
+
+  /** Returns whether the process exits within a time in milliseconds. */
+  public boolean awaitExit(long millis) {
     try {
-      return process.waitFor(EXIT_WAIT_SECONDS, TimeUnit.SECONDS);
+      return process.waitFor(millis, TimeUnit.MILLISECONDS);
     } catch (InterruptedException e) {
       Thread.currentThread().interrupt();
       return false;
--- /dev/null
+++ b/cli/src/test/java/org/marigoldmill/cli/soak/SoakIT.java
@@ -0,0 +1,90 @@
+package org.marigoldmill.cli.soak;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.nio.file.Path;
+import java.util.Arrays;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.stream.Collectors;
+import java.util.stream.LongStream;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.condition.EnabledIfSystemProperty;
+import org.junit.jupiter.api.parallel.Execution;
+import org.junit.jupiter.api.parallel.ExecutionMode;
+import org.marigoldmill.cli.soak.SoakLog.Violation;
+import org.marigoldmill.cli.soak.SoakSchedule.Scope;
+
+/** Plays seeded runs; see docs/OPERATIONS.md for runs by hand. */
+@Execution(ExecutionMode.SAME_THREAD)
+class SoakIT {
+  private static final int INSTANCES = 4;
+  private static final long LENGTH_MS = 20_000;
+
+  @Nested
+  class FixedSeeds {
+    @Test
+    void should_keep_every_promise_when_planned_work_overlaps() {
+      assertThat(play(1, Scope.PLANNED_WORK)).isEmpty();
+    }
+
+    @Test
+    void should_keep_every_promise_when_faults_and_planned_work_overlap() {
+      assertThat(play(2, Scope.FAULTS)).isEmpty();
+    }
+  }
+
+  @Nested
+  class SeedsByHand {
+    @Test
+    @EnabledIfSystemProperty(named = "soak.seeds", matches = ".+")
+    void should_keep_every_promise_when_seeds_are_given() {
+      String seeds = System.getProperty("soak.seeds");
+      int instances = Integer.getInteger("soak.instances", INSTANCES);
+      long lengthMs = 1_000 * Long.getLong("soak.seconds", LENGTH_MS / 1_000);
+      Scope scope = Scope.valueOf(System.getProperty("soak.scope", Scope.FAULTS.name()));
+      ExecutorService runs = Executors.newFixedThreadPool(Integer.getInteger("soak.parallel", 1));
+      List<CompletableFuture<String>> broken =
+          seeds(seeds)
+              .mapToObj(
+                  s ->
+                      CompletableFuture.supplyAsync(
+                          () -> describe(s, play(s, instances, lengthMs, scope)), runs))
+              .toList();
+      assertThat(broken.stream().map(CompletableFuture::join).filter(d -> !d.isEmpty())).isEmpty();
+      runs.shutdown();
+    }
+
+    /** Parses seeds such as {@code 1-5,9}. */
+    private static LongStream seeds(String text) {
+      return Arrays.stream(text.split(",", -1))
+          .map(r -> r.split("-", 2))
+          .flatMapToLong(
+              r -> LongStream.rangeClosed(Long.parseLong(r[0]), Long.parseLong(r[r.length - 1])));
+    }
+
+    private static String describe(long seed, List<Violation> broken) {
+      String text =
+          broken.stream()
+              .map(v -> "  " + v.atMs() + " ms " + v.promise() + " " + v.detail())
+              .collect(Collectors.joining("\n"));
+      System.out.println("seed " + seed + ": " + broken.size() + " broken\n" + text);
+      return text.isEmpty() ? "" : "seed " + seed + "\n" + text;
+    }
+  }
+
+  private static List<Violation> play(long seed, Scope scope) {
+    return play(seed, INSTANCES, LENGTH_MS, scope);
+  }
+
+  private static List<Violation> play(long seed, int instances, long lengthMs, Scope scope) {
+    Path directory =
+        Path.of(
+            System.getProperty("marigoldmill.work"),
+            "soak-" + seed + "-" + scope + "-" + instances);
+    return SoakRun.play(seed, instances, lengthMs, scope, directory);
+  }
+}
