--- a/cli/src/test/java/org/marigoldmill/cli/process/Relay.java
+++ b/cli/src/test/java/org/marigoldmill/cli/process/Relay.java
@@ -7,6 +7,7 @@
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.net.SocketException;
 import java.util.List;
 import java.util.concurrent.CopyOnWriteArrayList;
 
@@ -47,8 +48,7 @@
   /** Closes all connections, and every new connection as soon as it is accepted. */
   public void cut() {
     state = State.CUT;
-    connections.forEach(Relay::close);
-    connections.clear();
+    connections.forEach(this::close);
   }
 
   /** Forwards new connections again; silenced connections stay silent. */
@@ -146,12 +146,11 @@
       close(link);
     } catch (InterruptedException e) {
       Thread.currentThread().interrupt();
-    } finally {
-      connections.remove(link);
     }
   }
 
-  private static void close(Connection link) {
+  private void close(Connection link) {
+    connections.remove(link);
     try {
       link.from().close();
       link.to().close();
@@ -161,9 +160,11 @@
   }
 
   private static void reset(Socket socket) {
-    try {
+    try (socket) {
       socket.setSoLinger(true, 0);
-      socket.close();
+    } catch (SocketException e) {
+      // One of the peers has closed the connection meanwhile.
+      return;
     } catch (IOException e) {
       throw new UncheckedIOException(e);
     }
--- a/cli/src/test/java/org/marigoldmill/cli/process/SpawnedProcess.java
+++ b/cli/src/test/java/org/marigoldmill/cli/process/SpawnedProcess.java
@@ -114,6 +114,9 @@
   }
 
   private void signal(String signal) {
+    if (!process.isAlive()) {
+      return;
+    }
     try {
       new ProcessBuilder("kill", signal, Long.toString(process.pid())).start().waitFor();
     } catch (IOException e) {
--- a/cli/src/test/java/org/marigoldmill/cli/soak/SoakInstance.java
+++ b/cli/src/test/java/org/marigoldmill/cli/soak/SoakInstance.java
@@ -19,6 +19,7 @@
   private final SoakLog log;
   private final AtomicInteger lives = new AtomicInteger(1);
   private final AtomicBoolean ending = new AtomicBoolean();
+  private boolean closed;
   private volatile boolean ready;
   private volatile long stoppedMs = -1;
 
@@ -140,13 +141,16 @@
   }
 
   /** Kills the process for good. */
-  void close() {
-    ending.set(true);
+  synchronized void close() {
+    closed = true;
     deployed.process().kill();
     storeLink.close();
   }
 
-  private void restart(Disturbances.Interval disturbance) {
+  private synchronized void restart(Disturbances.Interval disturbance) {
+    if (closed) {
+      return;
+    }
     ready = false;
     stoppedMs = -1;
     lives.incrementAndGet();
--- a/cli/src/test/java/org/marigoldmill/cli/soak/SoakRun.java
+++ b/cli/src/test/java/org/marigoldmill/cli/soak/SoakRun.java
@@ -2,13 +2,15 @@
 
 import java.io.IOException;
 import java.io.UncheckedIOException;
+import java.nio.file.DirectoryStream;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.ArrayList;
 import java.util.EnumMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
-import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.TimeUnit;
@@ -36,6 +38,7 @@
   private static final long FINISH_MS = 10_000;
 
   private static final long START_TIMEOUT_MS = 120_000;
+  private static final long STEP_TIMEOUT_MS = 60_000;
   private static final int STORE_WORKERS_PER_INSTANCE = 64;
   private static final int REUSING_CALLERS = 120;
   private static final int BUSY_CALLERS = 8;
@@ -69,6 +72,7 @@
   private final ExecutorService trainers = pool("trainer");
   private final ExecutorService steps = pool("step");
   private final Map<Action, Consumer<Step>> actions = new EnumMap<>(Action.class);
+  private int nextStream;
 
   private SoakRun(long seed, int count, Path directory) {
     this.seed = seed;
@@ -95,11 +99,7 @@
    */
   static List<Violation> play(
       long seed, int instances, long lengthMs, SoakSchedule.Scope scope, Path directory) {
-    try {
-      Files.createDirectories(directory);
-    } catch (IOException e) {
-      throw new UncheckedIOException(e);
-    }
+    createEmpty(directory);
     try (SoakRun run = new SoakRun(seed, instances, directory)) {
       run.start();
       run.play(SoakSchedule.draw(seed, instances, lengthMs, scope));
@@ -116,11 +116,26 @@
     }
   }
 
+  /** Removes the logs of an earlier run. */
+  private static void createEmpty(Path directory) {
+    try {
+      Files.createDirectories(directory);
+      try (DirectoryStream<Path> files = Files.newDirectoryStream(directory)) {
+        for (Path file : files) {
+          Files.delete(file);
+        }
+      }
+    } catch (IOException e) {
+      throw new UncheckedIOException(e);
+    }
+  }
+
   @Override
   public void close() {
     List.of(callers, trainers, steps).forEach(ExecutorService::shutdownNow);
     instances.forEach(SoakInstance::close);
     upstreams.close();
+    store.condition(StoreStandin.Condition.SERVING);
     store.close();
     log.close();
   }
@@ -145,21 +160,13 @@
 
   private void play(List<Step> schedule) {
     final long startMs = log.now();
-    CountDownLatch open = new CountDownLatch(schedule.size());
+    List<CompletableFuture<Void>> open = new ArrayList<>();
     for (Step step : schedule) {
       sleep(Math.max(0, startMs + step.atMs() - log.now()));
       log.event("%s", step);
-      steps.execute(
-          () -> {
-            actions.get(step.action()).accept(step);
-            open.countDown();
-          });
-    }
-    try {
-      open.await();
-    } catch (InterruptedException e) {
-      Thread.currentThread().interrupt();
+      open.add(CompletableFuture.runAsync(() -> actions.get(step.action()).accept(step), steps));
     }
+    open.forEach(s -> s.orTimeout(STEP_TIMEOUT_MS, TimeUnit.MILLISECONDS).join());
   }
 
   /** Waits for all answers and results, checks what ran, and stops every instance. */
@@ -255,21 +262,13 @@
 
   /** Runs the parts of a series, each in its own thread, and waits for all. */
   private void series(int count, long spacingMs, Consumer<Integer> part) {
-    CountDownLatch open = new CountDownLatch(count);
+    List<CompletableFuture<Void>> open = new ArrayList<>();
     for (int i = 0; i < count; i++) {
       int index = i;
-      steps.execute(
-          () -> {
-            part.accept(index);
-            open.countDown();
-          });
+      open.add(CompletableFuture.runAsync(() -> part.accept(index), steps));
       sleep(spacingMs);
     }
-    try {
-      open.await();
-    } catch (InterruptedException e) {
-      Thread.currentThread().interrupt();
-    }
+    open.forEach(CompletableFuture::join);
   }
 
   private SoakInstance instance(Step step, int offset) {
@@ -290,8 +289,6 @@
         });
   }
 
-  private int nextStream;
-
   private static ExecutorService pool(String name) {
     return Executors.newCachedThreadPool(
         task -> {
--- a/cli/src/test/java/org/marigoldmill/cli/soak/Upstreams.java
+++ b/cli/src/test/java/org/marigoldmill/cli/soak/Upstreams.java
@@ -36,6 +36,12 @@
           .put("slots", SLOTS)
           .put("state", state);
     }
+
+    /** Closes the relay first, because the server waits for requests that are not complete. */
+    void close() {
+      relay.close();
+      server.close();
+    }
   }
 
   private final StoreStandin store;
@@ -76,8 +82,7 @@
     log.event("engine draining %s", leaving.id());
     SoakRun.sleep(DRAIN_MS + EXIT_AFTER_DRAIN_MS);
     store.put("servers", leaving.id(), null);
-    leaving.server().close();
-    leaving.relay().close();
+    leaving.close();
     log.event("engine gone %s", leaving.id());
   }
 
@@ -100,8 +105,7 @@
 
   @Override
   public void close() {
-    all.forEach(e -> e.server().close());
-    all.forEach(e -> e.relay().close());
+    all.forEach(Engine::close);
   }
 
   private synchronized void start(String service) {
