--- a/cli/src/test/java/org/marigoldmill/cli/soak/SoakRun.java
+++ b/cli/src/test/java/org/marigoldmill/cli/soak/SoakRun.java
@@ -141,6 +141,7 @@
   }
 
   private void start() {
+    repeat(trainers, r -> disturbances.detectStall());
     instances.forEach(i -> repeat(trainers, r -> balancer.poll(i)));
     ProcessCluster.await(
         "instances in rotation",
