Mark the end of a stream also on a connection that closes

On a stopping instance, whose connections close after the response, Undertow sent streams without a length or chunks, so that the close marked their end: a stream that was cut looked complete (MIXED).

--- a/cli/src/test/java/org/marigoldmill/cli/deployment/ShutdownIT.java
+++ b/cli/src/test/java/org/marigoldmill/cli/deployment/ShutdownIT.java
@@ -105,6 +105,29 @@
     }
   }
 
+  @Nested
+  class Streams {
+    /** Regression: a stream that a stopping instance did not end looked complete. */
+    @Test
+    void should_mark_the_end_of_a_stream_when_the_instance_is_stopping() {
+      // GIVEN
+      start();
+      try (KeptConnection connection =
+          new KeptConnection(cluster.instances.get(0).callerAddress())) {
+        assertThat(connection.get("/app/x", "first", DEADLINE_MS).status()).isEqualTo(200);
+        // WHEN
+        process(0).terminate();
+        DeploymentCluster.await(() -> process(0).output().contains("\"stopping open="));
+        Answer answer = connection.get("/gen/x", "stream", DEADLINE_MS);
+        // THEN
+        assertThat(answer.status()).isEqualTo(200);
+        assertThat(answer.head())
+            .containsIgnoringCase("connection: close")
+            .containsIgnoringCase("transfer-encoding: chunked");
+      }
+    }
+  }
+
   @Nested
   class GracePeriod {
     private static final long GRACE_MS = 5_000;
--- a/server/src/main/java/org/marigoldmill/server/gateway/StreamForwarder.java
+++ b/server/src/main/java/org/marigoldmill/server/gateway/StreamForwarder.java
@@ -2,6 +2,7 @@
 
 import com.google.common.flogger.FluentLogger;
 import io.undertow.server.HttpServerExchange;
+import io.undertow.util.Headers;
 import io.undertow.util.HttpString;
 import java.io.IOException;
 import java.io.OutputStream;
@@ -186,6 +187,9 @@
       protocol
           .returnedHeaders(stream.headers())
           .forEach(h -> exchange.getResponseHeaders().add(new HttpString(h.name()), h.value()));
+      // On a connection that closes after the response, Undertow would let the close mark its end,
+      // and a stream that is cut would look complete.
+      exchange.getResponseHeaders().put(Headers.TRANSFER_ENCODING, Headers.CHUNKED.toString());
     }
 
     private void relay(HttpStream stream) throws IOException {
@@ -205,6 +209,8 @@
             "stream ended inside an event at " + engine,
             null);
       }
+      // Closing a stream without a flush would add a length to the chunked response.
+      out.flush();
       out.close();
     }
 
