--- a/cli/src/test/java/org/marigoldmill/cli/deployment/DeploymentIT.java
+++ b/cli/src/test/java/org/marigoldmill/cli/deployment/DeploymentIT.java
@@ -21,13 +21,21 @@
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 import org.marigoldmill.cli.process.ProcessCluster;
+import org.marigoldmill.cli.process.Relay;
 import org.marigoldmill.http.HttpResponse;
+import org.marigoldmill.server.Pause;
 
 /** End-to-end tests of two deployed instances, with stand-ins for the store and the engines. */
 class DeploymentIT {
   /** Time in which an instance notifies the other of a crash. */
   private static final long CRASH_NOTICE_MS = 50;
 
+  /** Time in which a configuration takes effect at instances that reach the store. */
+  private static final long CONFIG_APPLY_MS = 2_000;
+
+  /** More than the time for which an instance lets a read wait at the store. */
+  private static final long READ_PERIOD_MS = 2_500;
+
   private DeploymentCluster cluster;
 
   @BeforeEach
@@ -91,6 +99,22 @@
       assertThat(all).extracting(r -> r.get("id").asText()).doesNotHaveDuplicates();
     }
 
+    @Test
+    void should_read_partitions_only_at_the_owner_of_the_model_when_nobody_asks() {
+      // GIVEN
+      assertThat(cluster.post(0, "/batch/s9", "s9", DeploymentCluster.submission()).status())
+          .isEqualTo(202);
+      DeploymentCluster.await(() -> cluster.results(1, "s9", 0).get("next").asInt() == ITEMS);
+      // WHEN, THEN
+      DeploymentCluster.await(() -> peakOfWaitingReads() == StoreStandin.PARTITIONS);
+    }
+
+    private int peakOfWaitingReads() {
+      cluster.store.takePeakWaitingReads("keyed.submissions");
+      Pause.millis(READ_PERIOD_MS);
+      return cluster.store.takePeakWaitingReads("keyed.submissions");
+    }
+
     @Test
     void should_report_no_submission_as_absent_when_the_store_is_unavailable() {
       // GIVEN
@@ -214,6 +238,33 @@
     }
   }
 
+  @Nested
+  class Configuration {
+    @Test
+    void should_refuse_no_new_route_when_the_path_to_the_store_is_cut() {
+      // GIVEN
+      try (Relay relay = new Relay(cluster.store.address())) {
+        cluster.startInstancesAt(relay.address(), "three");
+        int cutOff = cluster.instances.size() - 1;
+        assertThat(cluster.request(cutOff, "GET", "/new/x").status()).isEqualTo(404);
+        // WHEN
+        relay.cut();
+        cluster.store.put("op", "config", DeploymentCluster.configWithNewRoute(2));
+        ProcessCluster.pause(CONFIG_APPLY_MS);
+        // THEN
+        assertThat(cluster.request(cutOff, "GET", "/new/x").status()).isEqualTo(503);
+        assertThat(cluster.requestWithKey(cutOff, "/app/x", "new-key").status()).isEqualTo(503);
+        assertThat(cluster.requestWithKey(cutOff, "/app/x", "key").status()).isEqualTo(200);
+        // WHEN
+        relay.heal();
+        // THEN
+        DeploymentCluster.await(
+            () -> cluster.requestWithKey(cutOff, "/new/x", "key").status() == 200);
+        assertThat(cluster.request(cutOff, "GET", "/nowhere").status()).isEqualTo(404);
+      }
+    }
+  }
+
   @Nested
   class Calls {
     @Test
--- a/server/src/main/java/org/marigoldmill/server/DeploymentInstance.java
+++ b/server/src/main/java/org/marigoldmill/server/DeploymentInstance.java
@@ -1,5 +1,7 @@
 package org.marigoldmill.server;
 
+import static java.time.Duration.ZERO;
+
 import com.google.common.flogger.FluentLogger;
 import java.util.ArrayDeque;
 import java.util.Deque;
@@ -39,6 +41,8 @@
 import org.marigoldmill.server.gateway.SubmissionService;
 import org.marigoldmill.server.gateway.UpstreamPicker;
 import org.marigoldmill.server.gateway.UpstreamSender;
+import org.marigoldmill.server.store.LogStore;
+import org.marigoldmill.server.store.MeteredLogStore;
 import org.marigoldmill.server.store.PartitionFollower;
 import org.marigoldmill.server.store.PartitionReplica;
 
@@ -62,6 +66,9 @@
   /** Without the store an instance cannot accept submissions, so it reports itself not ready. */
   private static final long MAX_STORE_OUTAGE_MS = 800;
 
+  /** Callers are refused at once after this time without the store; a single refusal is shorter. */
+  private static final long STORE_LOST_MS = 200;
+
   /** Upper bound for the clock difference between instances. */
   private static final long CLOCK_SKEW_MARGIN_MS = 10_000;
 
@@ -100,12 +107,13 @@
     this.ports = ports;
     this.deployment = new DeploymentState(ports.codec());
     this.engines = new EngineRegistry(ports.codec(), upstreams, versions);
+    LogStore store = new MeteredLogStore(ports.store(), metrics::recordStoreCall);
     this.operatorFollower =
         new PartitionFollower(
-            ports.store(), ports.operatorTopic(), 0, OPERATOR_READ_WAIT_MS, 0, deployment, clock);
+            store, ports.operatorTopic(), 0, OPERATOR_READ_WAIT_MS, 0, deployment, clock);
     this.engineFollower =
         new PartitionFollower(
-            ports.store(),
+            store,
             ports.engineTopic(),
             0,
             ENGINE_READ_WAIT_MS,
@@ -115,16 +123,15 @@
     String process = settings.getInstance() + "#" + System.currentTimeMillis();
     this.partitions =
         new SubmissionPartitions(
-            ports.store(),
+            store,
             settings.getPartitions(),
             (int) settings.getCallBytes(),
             pool("append", settings.getPartitions()),
             clock);
-    this.membership =
-        new RolloutMembership(ports.store(), process, settings.getGroupTtlMs(), partitions);
+    this.membership = new RolloutMembership(store, process, settings.getGroupTtlMs(), partitions);
     this.lease =
         new DutyLeaseHolder(
-            ports.store(),
+            store,
             process,
             settings.getLeaseTtlMs(),
             settings.getTurnGuardMs(),
@@ -133,7 +140,7 @@
     final LoadQueue loads = new LoadQueue(settings.getParallelLoads());
     this.fleet =
         new FleetLog(
-            ports.store(),
+            store,
             settings.getInstance(),
             engines,
             versions,
@@ -164,11 +171,17 @@
             clock);
     UsageCounter usage = new UsageCounter(settings.getUsageWindowMs(), System::currentTimeMillis);
     SubmissionService submissions =
-        new SubmissionService(partitions, ports.callers(), chunkBytes(), clock);
+        new SubmissionService(
+            partitions,
+            ports.callers(),
+            chunkBytes(),
+            () -> operatorFollower.unreachableMs() >= STORE_LOST_MS,
+            clock);
     this.gateway =
         new Gateway(
             ports.callers(),
             deployment,
+            operatorFollower::overdueMs,
             forwarder,
             new StreamForwarder(picker, upstreams, sender, ports.callers(), clock),
             submissions,
@@ -179,6 +192,7 @@
     registerGauges();
     servers.startControlServers(readyPath, this::isReady);
     deployment.addConfigListener(servers::serveCallers);
+    deployment.addConfigListener(config -> partitions.notifyChanged());
     startFollowers();
     startTasks(usage, loads, client);
   }
@@ -202,13 +216,12 @@
     boolean ready = isUsable();
     if (loggedReady.getAndSet(ready) != ready) {
       logger.atInfo().log(
-          "ready=%s stopping=%s config=%s engines=%s partitions=%s store_away_ms=%d",
+          "ready=%s stopping=%s config=%s engines=%s config_overdue_ms=%d",
           ready,
           draining.get(),
           deployment.config().isPresent(),
           engineFollower.ready(),
-          partitions.ready(),
-          operatorFollower.unreachableMs());
+          operatorFollower.overdueMs());
     }
     return ready;
   }
@@ -218,9 +231,8 @@
     return !draining.get()
         && deployment.config().isPresent()
         && servers.servesCallers()
-        && operatorFollower.unreachableMs() < MAX_STORE_OUTAGE_MS
-        && engineFollower.ready()
-        && partitions.ready();
+        && operatorFollower.overdueMs() < MAX_STORE_OUTAGE_MS
+        && engineFollower.ready();
   }
 
   /**
@@ -335,6 +347,12 @@
     metrics.registerGauge("open_requests", "Requests in progress", servers::openRequests);
     metrics.registerGauge(
         "running_items", "Items that are being generated", rollouts::runningAttempts);
+    metrics.registerGauge(
+        "partitions_followed", "Partitions that are followed", partitions::followedCount);
+    metrics.registerGauge(
+        "process_cpu_seconds",
+        "Processor time of the process since its start",
+        () -> ProcessHandle.current().info().totalCpuDuration().orElse(ZERO).toMillis() / 1e3);
     metrics.registerGauge(
         "config_age_seconds", "Age of the configuration", () -> operatorFollower.ageMs() / 1e3);
   }
@@ -345,7 +363,7 @@
     startTask(0, "fleet", fleet.follower()::pollOnce);
     startTask(0, "lease-log", lease.follower()::pollOnce);
     for (PartitionReplica replica : partitions.replicas()) {
-      startTask(0, "partition", replica.follower()::pollOnce);
+      startTask(0, "partition", replica::pollOnce);
     }
   }
 
--- a/server/src/main/java/org/marigoldmill/server/store/PartitionFollower.java
+++ b/server/src/main/java/org/marigoldmill/server/store/PartitionFollower.java
@@ -13,6 +13,7 @@
 public final class PartitionFollower {
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
   private static final long STORE_RETRY_MS = 100;
+  private static final long LATE_ANSWER_MS = 500;
   private static final int MAX_CATCH_UP_READS = 8;
   private static final long NEVER = Long.MIN_VALUE;
 
@@ -46,10 +47,14 @@
   private final long pauseMs;
   private final Sink sink;
   private final Clock clock;
+  private final Object loadLock = new Object();
+  private final Object catchUpLock = new Object();
   private long nextOffset;
   private boolean loaded;
+  private volatile long catchUpFailedAtMs = NEVER;
   private volatile long unreachableSinceMs = NEVER;
   private volatile long upToDateAtMs = NEVER;
+  private volatile long lastHeardAtMs = NEVER;
   private volatile boolean ready;
 
   /**
@@ -77,8 +82,14 @@
 
   /** Reads once and applies the records; meant to be called in a loop. */
   public void pollOnce() throws InterruptedException {
+    pollOnce(waitMs);
+  }
+
+  /** Reads once, waiting at most the given time for records, and applies them. */
+  void pollOnce(long maxWaitMs) throws InterruptedException {
     try {
-      boolean receivedRecords = readAndApply(waitMs);
+      // A read that waits would confirm only late that the store answers again.
+      boolean receivedRecords = readAndApply(unreachableMs() > 0 ? 0 : maxWaitMs);
       markReachable();
       if (receivedRecords && pauseMs > 0) {
         Thread.sleep(pauseMs);
@@ -90,11 +101,30 @@
   }
 
   /**
-   * Applies all records that the partition contained when this method was called.
+   * Applies all records that the partition contained when this method was called. Concurrent calls
+   * share a read.
    *
    * @return false if the store did not answer, or the end was not reached in a few reads
    */
   public boolean catchUp() {
+    long calledAtMs = clock.now();
+    synchronized (catchUpLock) {
+      if (upToDateAtMs > calledAtMs) {
+        return true;
+      }
+      // Waiting for the store once more would delay the refusal.
+      if (catchUpFailedAtMs > calledAtMs) {
+        return false;
+      }
+      boolean caughtUp = readToEnd();
+      if (!caughtUp) {
+        catchUpFailedAtMs = clock.now();
+      }
+      return caughtUp;
+    }
+  }
+
+  private boolean readToEnd() {
     try {
       for (int i = 0; i < MAX_CATCH_UP_READS; i++) {
         long startedAtMs = clock.now();
@@ -122,6 +152,21 @@
     }
   }
 
+  /** Forgets that the store did not answer, because nothing will notice when it does again. */
+  synchronized void stopWatching() {
+    if (unreachableSinceMs != NEVER) {
+      logger.atInfo().log(
+          "dependency not watched name=store topic=%s partition=%d unreachable_ms=%d",
+          topic.name(), partition, unreachableMs());
+      unreachableSinceMs = NEVER;
+    }
+  }
+
+  /** Returns whether the state contains all records that were stored at a time of the clock. */
+  boolean upToDateSince(long timeMs) {
+    return upToDateAtMs != NEVER && upToDateAtMs >= timeMs;
+  }
+
   /** Returns whether the partition has been read to its end at least once. */
   public boolean ready() {
     return ready;
@@ -141,14 +186,32 @@
     return since == NEVER ? 0 : Math.max(1, clock.now() - since);
   }
 
+  /**
+   * Returns how long an answer of the store has been overdue, in milliseconds; {@code
+   * Long.MAX_VALUE} before the first one.
+   *
+   * <p>An answer is due when the wait of a read ends. Records appended before it was due may be
+   * missing while it is overdue, whether the store refuses reads or a connection is silent.
+   */
+  public long overdueMs() {
+    long heardAtMs = lastHeardAtMs;
+    return heardAtMs == NEVER
+        ? Long.MAX_VALUE
+        : Math.max(0, clock.now() - heardAtMs - pauseMs - waitMs);
+  }
+
   /** Reads from the current position; returns whether there was something to apply. */
   private boolean readAndApply(long maxWaitMs) {
-    long readStartedAtMs = clock.now();
-    if (!isLoaded()) {
+    boolean loadedBefore = isLoaded();
+    if (!loadedBefore) {
       load();
     }
+    // A read that waits would confirm only late that the load is complete.
+    long readWaitMs = loadedBefore && ready ? maxWaitMs : 0;
+    long readStartedAtMs = clock.now();
     long fromOffset = nextOffset();
-    LogStore.ReadResult read = store.read(topic, partition, fromOffset, ready ? maxWaitMs : 0);
+    LogStore.ReadResult read = store.read(topic, partition, fromOffset, readWaitMs);
+    logIfLate(clock.now() - readStartedAtMs, readWaitMs);
     if (read.trimmed()) {
       skipTrimmedRecords(fromOffset, read.firstOffset());
       return true;
@@ -164,12 +227,22 @@
       applyRecords(newRecords, Math.max(nextOffset, readEndOffset));
       if (nextOffset >= read.endOffset()) {
         upToDateAtMs = Math.max(upToDateAtMs, readStartedAtMs);
+        lastHeardAtMs =
+            Math.max(lastHeardAtMs, Math.min(clock.now(), readStartedAtMs + readWaitMs));
         ready = true;
       }
       return !read.records().isEmpty();
     }
   }
 
+  private void logIfLate(long elapsedMs, long maxWaitMs) {
+    if (elapsedMs > maxWaitMs + LATE_ANSWER_MS) {
+      logger.atInfo().log(
+          "store answered late topic=%s partition=%d ms=%d wait_ms=%d",
+          topic.name(), partition, elapsedMs, maxWaitMs);
+    }
+  }
+
   private synchronized boolean isLoaded() {
     return loaded;
   }
@@ -179,14 +252,19 @@
   }
 
   private void load() {
+    synchronized (loadLock) {
+      if (!isLoaded()) {
+        loadLatest();
+      }
+    }
+  }
+
+  private void loadLatest() {
     LogStore.LatestRecords latest =
         topic.keyed()
             ? store.readLatest(topic, partition)
             : new LogStore.LatestRecords(0, List.of());
     synchronized (this) {
-      if (loaded) {
-        return;
-      }
       nextOffset = latest.nextOffset();
       sink.load(
           () -> {
