Shutdown: close connections after responses before the line that says so

The instance wrote "stopping" and only then told the gateway, so that a request in between, which the test sends on that line, was answered as before. The gateway is told first now; the check is unchanged.

--- a/server/src/main/java/org/marigoldmill/server/DeploymentInstance.java
+++ b/server/src/main/java/org/marigoldmill/server/DeploymentInstance.java
@@ -247,9 +247,9 @@
     }
     final long startedAtMs = clock.now();
     ShutdownSchedule schedule = ShutdownSchedule.of(startedAtMs, settings.getGraceMs());
+    gateway.drain(schedule.removedMs(), schedule.serveUntilMs());
     logger.atInfo().log(
         "stopping open=%d items=%d", servers.openRequests(), rollouts.runningAttempts());
-    gateway.drain(schedule.removedMs(), schedule.serveUntilMs());
     List<String> inProgress = rollouts.startDraining();
     long itemsUntilUnixMs = System.currentTimeMillis() + schedule.serveUntilMs() - startedAtMs;
     final Thread leaving = startThread("leave", () -> leave(inProgress, itemsUntilUnixMs));
