Fleet log: instances without a duty read it at most ten times a second

Only the lease holder and owners of models act on each record at once; they read as before. Others now pause 100 ms after records, so a notice of a crashed upstream can reach them that much later.

PartitionFollowerTest checks that the pause is asked for after each read that returned records, and not otherwise; it does not compile on the code before.

--- a/server/src/main/java/org/marigoldmill/server/DeploymentInstance.java
+++ b/server/src/main/java/org/marigoldmill/server/DeploymentInstance.java
@@ -59,6 +59,7 @@
   private static final long OPERATOR_READ_WAIT_MS = 1_000;
   private static final long ENGINE_READ_WAIT_MS = 1_500;
   private static final long ENGINE_READ_PAUSE_MS = 200;
+  private static final long FLEET_READ_PAUSE_MS = 100;
   private static final long TASK_INTERVAL_MS = 50;
   private static final long DISCONNECT_CHECK_INTERVAL_MS = 100;
   private static final long EXPIRY_INTERVAL_MS = 5_000;
@@ -146,6 +147,7 @@
             versions,
             loads,
             suspects,
+            this::fleetReadPauseMs,
             System::currentTimeMillis,
             clock);
     HttpClient client = register(HttpClient.create("upstreams", 1));
@@ -339,6 +341,16 @@
     return (int) Math.min(settings.getRecordBytes(), settings.getCallBytes()) * 3 / 4;
   }
 
+  /**
+   * Returns the pause between reads of the fleet log, in milliseconds.
+   *
+   * <p>Only the lease holder and the owners of models act on each record at once. If all instances
+   * read each record as it comes, reads grow with instances times records.
+   */
+  private long fleetReadPauseMs() {
+    return lease.remainsHeldFor(1) || rollouts.active() ? 0 : FLEET_READ_PAUSE_MS;
+  }
+
   private void registerGauges() {
     metrics.registerGauge(
         "config_version",
--- a/server/src/main/java/org/marigoldmill/server/batch/Rollouts.java
+++ b/server/src/main/java/org/marigoldmill/server/batch/Rollouts.java
@@ -75,6 +75,11 @@
     scheduler.cancelAll();
   }
 
+  /** Returns whether this instance has models or items, and has read the partitions. */
+  public boolean active() {
+    return scheduler.active();
+  }
+
   /** Returns the number of attempts in progress. */
   public int runningAttempts() {
     return scheduler.runningAttempts();
--- a/server/src/main/java/org/marigoldmill/server/duty/FleetLog.java
+++ b/server/src/main/java/org/marigoldmill/server/duty/FleetLog.java
@@ -59,6 +59,7 @@
   /**
    * Creates the log of one instance.
    *
+   * @param readPauseMs returns the pause after a read that returned records, in milliseconds
    * @param unixMs wall clock, in Unix milliseconds
    */
   public FleetLog(
@@ -68,6 +69,7 @@
       EngineVersions versions,
       LoadQueue loads,
       SuspectTable suspects,
+      LongSupplier readPauseMs,
       LongSupplier unixMs,
       Clock clock) {
     this.store = store;
@@ -79,7 +81,7 @@
     this.unixMs = unixMs;
     this.clock = clock;
     this.completeSinceUnixMs = unixMs.getAsLong();
-    this.follower = new PartitionFollower(store, TOPIC, 0, READ_WAIT_MS, 0, this, clock);
+    this.follower = new PartitionFollower(store, TOPIC, 0, READ_WAIT_MS, readPauseMs, this, clock);
   }
 
   /** Returns the follower that reads the topic. */
--- a/server/src/main/java/org/marigoldmill/server/store/PartitionFollower.java
+++ b/server/src/main/java/org/marigoldmill/server/store/PartitionFollower.java
@@ -2,6 +2,7 @@
 
 import com.google.common.flogger.FluentLogger;
 import java.util.List;
+import java.util.function.LongSupplier;
 import org.marigoldmill.server.Clock;
 
 /**
@@ -44,7 +45,7 @@
   private final Topic topic;
   private final int partition;
   private final long waitMs;
-  private final long pauseMs;
+  private final LongSupplier pauseMs;
   private final Sink sink;
   private final Clock clock;
   private final Object loadLock = new Object();
@@ -71,6 +72,23 @@
       long pauseMs,
       Sink sink,
       Clock clock) {
+    this(store, topic, partition, waitMs, () -> pauseMs, sink, clock);
+  }
+
+  /**
+   * Creates a follower whose pause changes with the duties of its process.
+   *
+   * @param waitMs maximum time that a read waits for records, in milliseconds
+   * @param pauseMs returns the pause after a read that returned records, in milliseconds
+   */
+  public PartitionFollower(
+      LogStore store,
+      Topic topic,
+      int partition,
+      long waitMs,
+      LongSupplier pauseMs,
+      Sink sink,
+      Clock clock) {
     this.store = store;
     this.topic = topic;
     this.partition = partition;
@@ -91,8 +109,8 @@
       // A read that waits would confirm only late that the store answers again.
       boolean receivedRecords = readAndApply(unreachableMs() > 0 ? 0 : maxWaitMs);
       markReachable();
-      if (receivedRecords && pauseMs > 0) {
-        Thread.sleep(pauseMs);
+      if (receivedRecords) {
+        Thread.sleep(pauseMs.getAsLong());
       }
     } catch (StoreUnavailableException e) {
       markUnreachable(e);
@@ -197,7 +215,7 @@
     long heardAtMs = lastHeardAtMs;
     return heardAtMs == NEVER
         ? Long.MAX_VALUE
-        : Math.max(0, clock.now() - heardAtMs - pauseMs - waitMs);
+        : Math.max(0, clock.now() - heardAtMs - pauseMs.getAsLong() - waitMs);
   }
 
   /** Reads from the current position; returns whether there was something to apply. */
--- a/server/src/test/java/org/marigoldmill/server/duty/UsageReporterTest.java
+++ b/server/src/test/java/org/marigoldmill/server/duty/UsageReporterTest.java
@@ -59,6 +59,7 @@
               versions,
               new LoadQueue(1),
               new SuspectTable(),
+              () -> 0,
               time::get,
               time::get);
       lease = new DutyLeaseHolder(store, name, TTL_MS, 0, time::get);
--- a/server/src/test/java/org/marigoldmill/server/store/PartitionFollowerTest.java
+++ b/server/src/test/java/org/marigoldmill/server/store/PartitionFollowerTest.java
@@ -2,9 +2,12 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.Queue;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.LongFunction;
 import org.junit.jupiter.api.Nested;
@@ -37,6 +40,32 @@
     }
   }
 
+  @Nested
+  class BetweenReads {
+    @Test
+    void should_pause_as_its_process_demands_when_records_keep_coming()
+        throws InterruptedException {
+      // GIVEN
+      Queue<Long> pausesMs = new ArrayDeque<>(List.of(0L, 60L, 60L));
+      PartitionFollower follower =
+          new PartitionFollower(
+              store, TOPIC, 0, WAIT_MS, pausesMs::remove, new NoSink(), nowMs::get);
+      store.answer = waitMs -> new LogStore.ReadResult(false, 0, 9, List.of(record(0)));
+      // WHEN
+      for (int i = 0; i < 3; i++) {
+        follower.pollOnce();
+      }
+      store.answer = PartitionFollowerTest::answerEmpty;
+      follower.pollOnce();
+      // THEN
+      assertThat(pausesMs).isEmpty();
+    }
+
+    private StoredRecord record(long offset) {
+      return new StoredRecord(offset, "key", Optional.empty());
+    }
+  }
+
   @Nested
   class AfterALoad {
     @Test
