Look at the delay of the configuration before the configuration itself

If a newer version arrived in between, the refusal by the old one passed as certain, a 404 or 401 that callers do not retry (class: check, then act). Now the delay is taken first. No test reproduces the interleaving.

--- a/server/src/main/java/org/marigoldmill/server/gateway/Gateway.java
+++ b/server/src/main/java/org/marigoldmill/server/gateway/Gateway.java
@@ -222,16 +222,40 @@
 
   private record Result(HttpResponse response, String service, String detail) {}
 
+  /**
+   * A configuration and how long news of it had been overdue before it was looked up.
+   *
+   * @param overdueMs delay in milliseconds
+   */
+  private record KnownConfig(DeploymentConfig config, long overdueMs) {
+    /**
+     * Creates a refusal by the configuration.
+     *
+     * <p>Callers do not retry it, so an instance that may have missed a newer configuration asks
+     * them to retry instead.
+     */
+    private MarigoldmillException refusal(ErrorKind kind, String reason) {
+      String detail = reason + " in version " + config.version() + " overdue_ms=" + overdueMs;
+      return MarigoldmillException.of(
+          overdueMs > MAX_CONFIG_OVERDUE_MS ? ErrorKind.KNOWLEDGE_STALE : kind, detail);
+    }
+  }
+
+  private KnownConfig knownConfig() {
+    // In the other order, a newer configuration could arrive in between and end the delay.
+    long overdueMs = configOverdueMs.getAsLong();
+    return deployment
+        .config()
+        .map(c -> new KnownConfig(c, overdueMs))
+        .orElseThrow(
+            () -> MarigoldmillException.of(ErrorKind.NOT_CONFIGURED, "no configuration loaded"));
+  }
+
   private Result route(HttpServerExchange exchange, byte[] body, long arrivedAtMs, String id) {
-    DeploymentConfig config =
-        deployment
-            .config()
-            .orElseThrow(
-                () ->
-                    MarigoldmillException.of(ErrorKind.NOT_CONFIGURED, "no configuration loaded"));
+    KnownConfig known = knownConfig();
     Optional<CallerProtocol.SubmissionQuery> question = protocol.submissionQuery(exchange);
     if (question.isPresent()) {
-      String organisation = organisation(config, exchange);
+      String organisation = organisation(known, exchange);
       requireTimeUntil(arrivedAtMs + SUBMISSION_LIMIT_MS);
       HttpResponse response = submissions.respond(question.get(), organisation);
       return new Result(response, "submissions", question.get().toString());
@@ -239,11 +263,12 @@
     String host = host(exchange);
     String path = exchange.getRequestURI();
     Route route =
-        config
+        known
+            .config()
             .route(host, path)
-            .orElseThrow(() -> refusal(ErrorKind.NOT_FOUND, "no matching route", config));
+            .orElseThrow(() -> known.refusal(ErrorKind.NOT_FOUND, "no matching route"));
     Optional<String> organisation =
-        route.publicAccess() ? Optional.empty() : Optional.of(organisation(config, exchange));
+        route.publicAccess() ? Optional.empty() : Optional.of(organisation(known, exchange));
     if (id.isEmpty()) {
       throw MarigoldmillException.of(ErrorKind.BAD_REQUEST, "request id missing");
     }
@@ -348,27 +373,15 @@
             protocol.errorResponse(outcome.kind(), RETRY_AFTER_MS), request.service(), detail);
   }
 
-  private String organisation(DeploymentConfig config, HttpServerExchange exchange) {
+  private String organisation(KnownConfig known, HttpServerExchange exchange) {
     String key =
         protocol
             .apiKey(exchange)
-            .orElseThrow(() -> refusal(ErrorKind.KEY_MISSING, "request without key", config));
-    return config
+            .orElseThrow(() -> known.refusal(ErrorKind.KEY_MISSING, "request without key"));
+    return known
+        .config()
         .organisation(key)
-        .orElseThrow(() -> refusal(ErrorKind.KEY_UNKNOWN, "unknown key", config));
-  }
-
-  /**
-   * Creates a refusal by a configuration.
-   *
-   * <p>Callers do not retry it, so an instance that may have missed a newer configuration asks them
-   * to retry instead.
-   */
-  private MarigoldmillException refusal(ErrorKind kind, String reason, DeploymentConfig config) {
-    long overdueMs = configOverdueMs.getAsLong();
-    String detail = reason + " in version " + config.version() + " overdue_ms=" + overdueMs;
-    return MarigoldmillException.of(
-        overdueMs > MAX_CONFIG_OVERDUE_MS ? ErrorKind.KNOWLEDGE_STALE : kind, detail);
+        .orElseThrow(() -> known.refusal(ErrorKind.KEY_UNKNOWN, "unknown key"));
   }
 
   private static String host(HttpServerExchange exchange) {
