New owners start no items from old state

An owner waits until all partitions are read, at most 1 s; after that it also took open submissions from partitions that it had not read since they rested, where one that had ended still looked open, and its items would have run again. And a new owner's fleet log may be 0.1 s old, so that it could start items that a stopping instance had just published as its own.

Open submissions now come only from partitions that are up to date, and the fleet log is read to its end before the first round.

--- a/server/src/main/java/org/marigoldmill/server/batch/RolloutScheduler.java
+++ b/server/src/main/java/org/marigoldmill/server/batch/RolloutScheduler.java
@@ -100,7 +100,14 @@
     synchronized (this) {
       needed = !tasks.isEmpty() || allocator.models().stream().anyMatch(membership::ownsModel);
       partitions.followAll(needed);
-      active = needed && partitions.current();
+    }
+    boolean ready = needed && partitions.current();
+    if (ready && !active) {
+      // A stopping instance may have published which items it keeps.
+      fleet.follower().catchUp();
+    }
+    synchronized (this) {
+      active = ready;
       if (active) {
         runRound(changeCount);
       }
--- a/server/src/main/java/org/marigoldmill/server/batch/SubmissionPartitions.java
+++ b/server/src/main/java/org/marigoldmill/server/batch/SubmissionPartitions.java
@@ -101,9 +101,15 @@
     return replicas.stream().filter(PartitionReplica::followed).count();
   }
 
-  /** Returns the submissions that are not ended and lack results. */
+  /**
+   * Returns the submissions that are not ended and lack results, of the partitions that are up to
+   * date; the old state of others may contain submissions that have ended.
+   */
   public List<Submission> openSubmissions() {
-    return states().flatMap(s -> s.unfinishedSubmissions().stream()).toList();
+    return replicas.stream()
+        .filter(PartitionReplica::current)
+        .flatMap(r -> r.state().unfinishedSubmissions().stream())
+        .toList();
   }
 
   /** Returns all stored submissions. */
