LIMIT: the limit that an engine names is decoded and logged

No logic changes. Now each instance logs a change of the limit of an incarnation, with the attempts that it sent while the former limit, or none, was named. Values that are no decimal number are ignored with a line; of several the lowest counts.

--- /dev/null
+++ b/core/src/main/java/org/marigoldmill/core/limit/package-info.java
@@ -0,0 +1,5 @@
+/**
+ * Request limits that engines name in their answers: what is known of them, and the part of one
+ * limit that each instance may use.
+ */
+package org.marigoldmill.core.limit;
--- a/server/src/main/java/org/marigoldmill/server/DeploymentInstance.java
+++ b/server/src/main/java/org/marigoldmill/server/DeploymentInstance.java
@@ -17,6 +17,7 @@
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.LongSupplier;
 import java.util.random.RandomGenerator;
+import org.marigoldmill.core.limit.NamedLimits;
 import org.marigoldmill.core.quarantine.SuspectTable;
 import org.marigoldmill.core.routing.UpstreamTable;
 import org.marigoldmill.core.weights.EngineVersions;
@@ -152,7 +153,9 @@
             clock);
     this.crashes = new CrashLog(store, settings.getInstance(), suspects, clock);
     HttpClient client = register(HttpClient.create("upstreams", 1));
-    UpstreamSender sender = new UpstreamSender(client, ports.upstreams(), upstreams, clock);
+    NamedLimits limits = new NamedLimits();
+    engines.addRemovalListener(limits::remove);
+    UpstreamSender sender = new UpstreamSender(client, ports.upstreams(), upstreams, limits, clock);
     CrashDetector crashDetector =
         new CrashDetector(suspects, client, crashes, pool("crashes", MAX_PROBE_THREADS), clock);
     UpstreamPicker picker = new UpstreamPicker(engines, upstreams, settings.getZone(), clock);
--- a/server/src/main/java/org/marigoldmill/server/batch/ItemRunner.java
+++ b/server/src/main/java/org/marigoldmill/server/batch/ItemRunner.java
@@ -112,6 +112,7 @@
         new UpstreamProtocol.Attempt(
             item.getId(),
             engine.id(),
+            engine.incarnation(),
             task.submission().getHost(),
             "POST",
             item.getPath(),
--- a/server/src/main/java/org/marigoldmill/server/deployment/EngineRegistry.java
+++ b/server/src/main/java/org/marigoldmill/server/deployment/EngineRegistry.java
@@ -5,7 +5,8 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.ConcurrentHashMap;
-import java.util.stream.Collectors;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.function.Consumer;
 import org.marigoldmill.core.placement.Engine;
 import org.marigoldmill.core.routing.UpstreamTable;
 import org.marigoldmill.core.weights.EngineVersions;
@@ -22,6 +23,7 @@
   private final UpstreamTable upstreams;
   private final EngineVersions versions;
   private final Map<String, Engine> engines = new ConcurrentHashMap<>();
+  private final List<Consumer<String>> removalListeners = new CopyOnWriteArrayList<>();
   private boolean routingTableStale;
 
   /** Creates an empty registry that updates a routing table and the versions of weights. */
@@ -31,6 +33,11 @@
     this.versions = versions;
   }
 
+  /** Registers a listener that is called with the id of each upstream that is removed. */
+  public void addRemovalListener(Consumer<String> listener) {
+    removalListeners.add(listener);
+  }
+
   /** Returns the upstream with an id. */
   public Optional<Engine> engine(String id) {
     return Optional.ofNullable(engines.get(id));
@@ -64,13 +71,11 @@
     Map<String, Engine> before = Map.copyOf(engines);
     PartitionFollower.Sink.super.load(replay);
     engines.replaceAll((id, engine) -> laterIncarnation(before.get(id), engine));
-    String gone =
-        before.keySet().stream()
-            .filter(id -> !engines.containsKey(id))
-            .collect(Collectors.joining(","));
+    List<String> gone = before.keySet().stream().filter(id -> !engines.containsKey(id)).toList();
+    gone.forEach(this::notifyRemoved);
     logger.atInfo().log(
         "registry loaded, engines missing from it removed engines=%d gone=%s",
-        engines.size(), gone);
+        engines.size(), String.join(",", gone));
   }
 
   @Override
@@ -118,11 +123,16 @@
     if (before != null) {
       engines.remove(stored.key());
       versions.remove(stored.key());
+      notifyRemoved(stored.key());
       routingTableStale = true;
       logger.atInfo().log("engine gone id=%s service=%s", stored.key(), before.service());
     }
   }
 
+  private void notifyRemoved(String id) {
+    removalListeners.forEach(l -> l.accept(id));
+  }
+
   private static Engine laterIncarnation(Engine before, Engine loaded) {
     return before != null && before.incarnation() > loaded.incarnation() ? before : loaded;
   }
--- a/server/src/main/java/org/marigoldmill/server/deployment/UpstreamProtocol.java
+++ b/server/src/main/java/org/marigoldmill/server/deployment/UpstreamProtocol.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.OptionalLong;
 import org.marigoldmill.core.weights.WeightPlan;
 import org.marigoldmill.http.HttpCall;
@@ -16,6 +17,7 @@
    *
    * @param requestId request id that the caller has given
    * @param engineId id of the only upstream that may run the request
+   * @param incarnation start time of the upstream, in Unix milliseconds
    * @param host host that the caller has addressed
    * @param method HTTP method
    * @param path path and query
@@ -29,6 +31,7 @@
   record Attempt(
       String requestId,
       String engineId,
+      long incarnation,
       String host,
       String method,
       String path,
@@ -88,6 +91,12 @@
   /** Returns the load that a response reports. */
   Optional<UpstreamLoad> upstreamLoad(List<HttpCall.Header> headers);
 
+  /**
+   * Returns the requests a second that the upstream, in this response, accepts from all instances
+   * together; empty if it names no limit.
+   */
+  OptionalDouble requestLimit(List<HttpCall.Header> headers);
+
   /** Builds the call that requests an engine's report. */
   HttpCall report(String address);
 
--- a/server/src/main/java/org/marigoldmill/server/gateway/Forwarder.java
+++ b/server/src/main/java/org/marigoldmill/server/gateway/Forwarder.java
@@ -67,9 +67,19 @@
      * @param resumeAfter id of the event after which to resume a stream; empty to start anew
      * @param remainingMs time left until the caller's deadline, in milliseconds
      */
-    Attempt attempt(String upstream, OptionalLong resumeAfter, long remainingMs) {
+    Attempt attempt(Engine upstream, OptionalLong resumeAfter, long remainingMs) {
       return new Attempt(
-          id, upstream, host, method, path, headers, body, organisation, resumeAfter, remainingMs);
+          id,
+          upstream.id(),
+          upstream.incarnation(),
+          host,
+          method,
+          path,
+          headers,
+          body,
+          organisation,
+          resumeAfter,
+          remainingMs);
     }
   }
 
@@ -185,7 +195,7 @@
       Engine target = picked.engine();
       PlatformInstance instance = picked.instance();
       record.recordSent();
-      Attempt attempt = request.attempt(target.id(), OptionalLong.empty(), remainingMs);
+      Attempt attempt = request.attempt(target, OptionalLong.empty(), remainingMs);
       long timeoutMs = request.route().retryable() ? attemptTimeoutMs(remainingMs) : remainingMs;
       HttpCall untimed = sender.protocol().attemptCall(target.address(), attempt);
       HttpCall call =
--- a/server/src/main/java/org/marigoldmill/server/gateway/StreamForwarder.java
+++ b/server/src/main/java/org/marigoldmill/server/gateway/StreamForwarder.java
@@ -154,7 +154,7 @@
     }
 
     private void send(Engine target, long remainingMs) throws IOException {
-      Attempt attempt = request.attempt(target.id(), lastEvent, remainingMs);
+      Attempt attempt = request.attempt(target, lastEvent, remainingMs);
       HttpCall call =
           sender
               .protocol()
