LIMIT: the instances keep the request limit of an engine together

What callers saw: engines in need got all requests that they had got before they named a limit.

Cause (H1): the header was read nowhere. edge-ub-north-2 sent i-aace57a97e 63 attempts in the 7.3 s before the limit and 82 in the 9.7 s after it, the same rate. H2 and H3 are ruled out: no refusals, and the shares of the engines do not change. H4 is what a fix has to answer: ten instances heard of the same limit between 7.0 s and 14.3 s, and had between 0.1 and 8.6 requests a second for the engine.

Change: EngineLimits (core) asks before every request: calls, retries, streams, items, reward calls, orders. The instances report their requests for limited engines through the store, at most about 20 reports a second together; everybody sums them, and LimitShare divides the limit by demand, callers first. Without news of the others an instance keeps its share for 5 s and then takes an equal part of half the limit. A request that cannot have its turn in time is refused at once, with a Retry-After from the next turn on.

--- a/cli/src/test/java/org/marigoldmill/cli/deployment/EngineStandin.java
+++ b/cli/src/test/java/org/marigoldmill/cli/deployment/EngineStandin.java
@@ -46,6 +46,7 @@
   private final Queue<String> startedRequests = new ConcurrentLinkedQueue<>();
   private final Queue<String> abortedRequests = new ConcurrentLinkedQueue<>();
   private final AtomicBoolean closed = new AtomicBoolean();
+  private volatile String requestLimit = "";
   private final HttpServer server;
 
   public EngineStandin(String id, String model, int events, long eventMs) {
@@ -98,6 +99,11 @@
     return entry;
   }
 
+  /** Sets the request limit that each answer names from now on; empty for none. */
+  void requestLimit(String perSecond) {
+    requestLimit = perSecond;
+  }
+
   List<Order> orders() {
     return List.copyOf(orders);
   }
@@ -134,6 +140,9 @@
       startedRequests.add(request);
       setHeader(exchange, "X-Attempt-Id", request);
       setHeader(exchange, "X-Server-Seal", score(request));
+      if (!requestLimit.isEmpty()) {
+        setHeader(exchange, "Server-Limit", requestLimit);
+      }
       run(exchange, path, request);
     }
   }
--- a/core/src/main/java/org/marigoldmill/core/limit/NamedLimits.java
+++ b/core/src/main/java/org/marigoldmill/core/limit/NamedLimits.java
@@ -16,6 +16,7 @@
   private static final class Entry {
     private final long incarnation;
     private OptionalDouble limit = OptionalDouble.empty();
+    private long saidAtMs = Long.MIN_VALUE;
     private long sinceMs;
     private long attempts;
 
@@ -53,8 +54,46 @@
    */
   public synchronized Optional<Change> recordAnswer(
       String engine, long incarnation, OptionalDouble limit, long nowMs) {
+    return record(engine, incarnation, limit, nowMs, nowMs);
+  }
+
+  /**
+   * Records what another instance heard from an engine; ignored if this process has heard from the
+   * engine since.
+   *
+   * @param saidAtMs when the engine gave the answer
+   */
+  public synchronized Optional<Change> recordReport(
+      String engine, long incarnation, OptionalDouble limit, long saidAtMs, long nowMs) {
+    return record(engine, incarnation, limit, saidAtMs, nowMs);
+  }
+
+  /** Returns the limit that an engine names, in requests a second; empty if it names none. */
+  public synchronized OptionalDouble limit(String engine) {
+    Entry entry = entries.get(engine);
+    return entry == null ? OptionalDouble.empty() : entry.limit;
+  }
+
+  /** Returns the incarnation that named the limit of an engine, or 0 if the engine is unknown. */
+  public synchronized long incarnation(String engine) {
+    Entry entry = entries.get(engine);
+    return entry == null ? 0 : entry.incarnation;
+  }
+
+  /** Returns when an engine said what is known of its limit. */
+  public synchronized long saidAtMs(String engine) {
+    Entry entry = entries.get(engine);
+    return entry == null ? Long.MIN_VALUE : entry.saidAtMs;
+  }
+
+  private Optional<Change> record(
+      String engine, long incarnation, OptionalDouble limit, long saidAtMs, long nowMs) {
     Entry entry = current(engine, incarnation, nowMs).orElse(null);
-    if (entry == null || entry.limit.equals(limit)) {
+    if (entry == null || saidAtMs < entry.saidAtMs) {
+      return Optional.empty();
+    }
+    entry.saidAtMs = saidAtMs;
+    if (entry.limit.equals(limit)) {
       return Optional.empty();
     }
     final Change change = new Change(entry.limit, limit, entry.attempts, nowMs - entry.sinceMs);
--- a/server/src/main/java/org/marigoldmill/server/DeploymentInstance.java
+++ b/server/src/main/java/org/marigoldmill/server/DeploymentInstance.java
@@ -17,7 +17,7 @@
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.LongSupplier;
 import java.util.random.RandomGenerator;
-import org.marigoldmill.core.limit.NamedLimits;
+import org.marigoldmill.core.limit.EngineLimits;
 import org.marigoldmill.core.quarantine.SuspectTable;
 import org.marigoldmill.core.routing.UpstreamTable;
 import org.marigoldmill.core.weights.EngineVersions;
@@ -34,9 +34,11 @@
 import org.marigoldmill.server.duty.CrashLog;
 import org.marigoldmill.server.duty.DutyLeaseHolder;
 import org.marigoldmill.server.duty.FleetLog;
+import org.marigoldmill.server.duty.LimitLog;
 import org.marigoldmill.server.duty.UsageCounter;
 import org.marigoldmill.server.duty.UsageReporter;
 import org.marigoldmill.server.duty.WeightOrderDispatcher;
+import org.marigoldmill.server.gateway.AnswerObserver;
 import org.marigoldmill.server.gateway.CrashDetector;
 import org.marigoldmill.server.gateway.Forwarder;
 import org.marigoldmill.server.gateway.Gateway;
@@ -63,6 +65,7 @@
   private static final long ENGINE_READ_WAIT_MS = 1_500;
   private static final long DISCONNECT_CHECK_INTERVAL_MS = 100;
   private static final long EXPIRY_INTERVAL_MS = 5_000;
+  private static final long LIMIT_REPORT_INTERVAL_MS = 250;
 
   /** Without the store an instance cannot accept submissions, so it reports itself not ready. */
   private static final long MAX_STORE_OUTAGE_MS = 800;
@@ -99,6 +102,8 @@
   private final DutyLeaseHolder lease;
   private final FleetLog fleet;
   private final CrashLog crashes;
+  private final EngineLimits limits;
+  private final LimitLog limitLog;
   private final Rollouts rollouts;
   private final DutyCandidacy duties;
   private final Gateway gateway;
@@ -152,13 +157,21 @@
             System::currentTimeMillis,
             clock);
     this.crashes = new CrashLog(store, settings.getInstance(), suspects, clock);
-    HttpClient client = register(HttpClient.create("upstreams", 1));
-    NamedLimits limits = new NamedLimits();
+    final HttpClient client = register(HttpClient.create("upstreams", 1));
+    this.limits =
+        new EngineLimits(
+            settings.getInstance(), process, RandomGenerator.getDefault(), clock.now());
     engines.addRemovalListener(limits::remove);
-    UpstreamSender sender = new UpstreamSender(client, ports.upstreams(), upstreams, limits, clock);
+    this.limitLog =
+        new LimitLog(
+            store, settings.getInstance(), limits, engines, System::currentTimeMillis, clock);
+    AnswerObserver answers =
+        new AnswerObserver(ports.upstreams(), engines, upstreams, limits, clock);
+    UpstreamSender sender = new UpstreamSender(client, ports.upstreams(), answers);
     CrashDetector crashDetector =
         new CrashDetector(suspects, client, crashes, pool("crashes", MAX_PROBE_THREADS), clock);
-    UpstreamPicker picker = new UpstreamPicker(engines, upstreams, settings.getZone(), clock);
+    UpstreamPicker picker =
+        new UpstreamPicker(engines, upstreams, limits, settings.getZone(), clock);
     Forwarder forwarder = new Forwarder(picker, upstreams, sender, crashDetector, clock);
     ModelEngineAllocator shares = new ModelEngineAllocator(deployment, engines, partitions);
     this.rollouts =
@@ -170,6 +183,7 @@
             versions,
             sender,
             forwarder,
+            limits,
             fleet,
             pool("items", MAX_ITEM_THREADS),
             metrics,
@@ -201,7 +215,7 @@
     deployment.addConfigListener(servers::serveCallers);
     deployment.addConfigListener(config -> partitions.notifyChanged());
     startFollowers();
-    startTasks(usage, loads, client);
+    startTasks(usage, loads, client, answers);
   }
 
   /**
@@ -289,6 +303,7 @@
     }
     membership.leave();
     lease.release();
+    limitLog.leave();
   }
 
   /** Starts a thread that the end of the process does not wait for. */
@@ -376,6 +391,7 @@
     startTask(0, "operator", operatorFollower::pollOnce);
     startTask(0, "engines", engineFollower::pollOnce);
     startTask(0, "crashes-log", crashes.follower()::pollOnce);
+    startTask(0, "limit-log", limitLog.follower()::pollOnce);
     startTask(0, "fleet", () -> duties.follow(fleet.follower()));
     startTask(0, "lease-log", () -> duties.follow(lease.follower()));
     for (PartitionReplica replica : partitions.replicas()) {
@@ -383,7 +399,8 @@
     }
   }
 
-  private void startTasks(UsageCounter usage, LoadQueue loads, HttpClient client) {
+  private void startTasks(
+      UsageCounter usage, LoadQueue loads, HttpClient client, AnswerObserver answers) {
     startTask(settings.getGroupTtlMs() / 3, "membership", membership::joinOrRenew);
     startTask(duties::intervalMs, "lease", duties::claimLeaseIfDue);
     startTask(0, "rollouts", rollouts::scheduleOnce);
@@ -395,11 +412,14 @@
             fleet,
             ports.upstreams(),
             client,
+            answers,
+            limits,
             loads,
             settings.getInstance(),
             clock);
     startTask(duties::intervalMs, "weights", orderDispatcher::sendOrders);
     startTask(duties::intervalMs, "weight-plan", rollouts::planWeights);
+    startTask(LIMIT_REPORT_INTERVAL_MS, "limits", limitLog::publishDue);
     startTask(EXPIRY_INTERVAL_MS, "expiry", this::expireSubmissions);
     startTask(DISCONNECT_CHECK_INTERVAL_MS, "caller-watch", gateway::detectDisconnects);
     if (settings.getUsageWindowMs() > 0 && ports.dutyApi().isPresent()) {
--- a/server/src/main/java/org/marigoldmill/server/batch/ItemRunner.java
+++ b/server/src/main/java/org/marigoldmill/server/batch/ItemRunner.java
@@ -5,6 +5,7 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import org.marigoldmill.core.error.ErrorKind;
+import org.marigoldmill.core.limit.Urgency;
 import org.marigoldmill.core.placement.Engine;
 import org.marigoldmill.core.placement.EngineLoads;
 import org.marigoldmill.core.route.Route;
@@ -302,7 +303,7 @@
   private Forwarder.Outcome callReward(RewardCall reward) {
     Optional<Route> route = rewardRoute(reward);
     if (route.isEmpty()) {
-      return new Forwarder.Outcome(Optional.empty(), ErrorKind.NOT_FOUND, false, 0, 0, "");
+      return new Forwarder.Outcome(Optional.empty(), ErrorKind.NOT_FOUND, false, 0, 0, "", 0);
     }
     return forwarder.forward(
         new Forwarder.Request(
@@ -315,6 +316,7 @@
             List.of(),
             reward.getBody().toByteArray(),
             Optional.empty(),
+            Urgency.BACKGROUND,
             clock.now() + REWARD_TIMEOUT_MS,
             new Cancellation()));
   }
--- a/server/src/main/java/org/marigoldmill/server/batch/RolloutScheduler.java
+++ b/server/src/main/java/org/marigoldmill/server/batch/RolloutScheduler.java
@@ -6,10 +6,13 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.Executor;
 import java.util.concurrent.RejectedExecutionException;
 import java.util.stream.Collectors;
+import org.marigoldmill.core.limit.EngineLimits;
+import org.marigoldmill.core.limit.Urgency;
 import org.marigoldmill.core.placement.Engine;
 import org.marigoldmill.core.placement.EngineLoads;
 import org.marigoldmill.core.placement.MovePolicy;
@@ -48,6 +51,7 @@
   private final RolloutMembership membership;
   private final ModelEngineAllocator allocator;
   private final EngineLoads loads;
+  private final EngineLimits limits;
   private final EngineVersions versions;
   private final ItemRunner runner;
   private final Executor executor;
@@ -71,6 +75,7 @@
       RolloutMembership membership,
       ModelEngineAllocator allocator,
       EngineLoads loads,
+      EngineLimits limits,
       EngineVersions versions,
       ItemRunner runner,
       Executor executor,
@@ -81,6 +86,7 @@
     this.membership = membership;
     this.allocator = allocator;
     this.loads = loads;
+    this.limits = limits;
     this.versions = versions;
     this.runner = runner;
     this.executor = executor;
@@ -204,16 +210,38 @@
       return;
     }
     Map<String, List<Engine>> engines = allocator.enginesByModel();
+    Set<String> atLimit = new HashSet<>();
     for (ItemTask task : ready) {
       Submission submission = task.submission();
       List<Engine> suitable =
           engines.getOrDefault(submission.getModel(), List.of()).stream()
               .filter(e -> canRun(e, submission, now))
               .toList();
-      loads.acquire(suitable, zone, now).ifPresent(e -> startAttempt(task, e));
+      acquire(suitable, atLimit, now).ifPresent(e -> startAttempt(task, e));
     }
   }
 
+  /**
+   * Reserves a slot at an engine, and a turn where it names a request limit.
+   *
+   * @param atLimit engines without a turn in this round; extended
+   */
+  private Optional<Engine> acquire(List<Engine> suitable, Set<String> atLimit, long now) {
+    Optional<Engine> chosen = loads.acquire(without(suitable, atLimit), zone, now);
+    while (chosen.isPresent() && !limits.tryAcquire(chosen.get().id(), Urgency.BACKGROUND, now)) {
+      loads.release(chosen.get().id());
+      atLimit.add(chosen.get().id());
+      chosen = loads.acquire(without(suitable, atLimit), zone, now);
+    }
+    return chosen;
+  }
+
+  private static List<Engine> without(List<Engine> engines, Set<String> excluded) {
+    return excluded.isEmpty()
+        ? engines
+        : engines.stream().filter(e -> !excluded.contains(e.id())).toList();
+  }
+
   /** A draining instance continues only its own items, and other instances leave them to it. */
   private boolean mayStartHere(ItemTask task) {
     return draining ? task.hasStarted() : !fleet.isGeneratedElsewhere(task.key());
@@ -255,6 +283,7 @@
         engines.stream()
             .filter(e -> !versions.loading(e.id(), model, now))
             .filter(e -> versions.expectedVersion(e.id(), model, now) >= minVersion)
+            .filter(e -> !limits.isLimited(e.id()))
             .map(
                 e ->
                     new MovePolicy.Room(
--- a/server/src/main/java/org/marigoldmill/server/batch/Rollouts.java
+++ b/server/src/main/java/org/marigoldmill/server/batch/Rollouts.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.concurrent.Executor;
+import org.marigoldmill.core.limit.EngineLimits;
 import org.marigoldmill.core.placement.EngineLoads;
 import org.marigoldmill.core.weights.EngineVersions;
 import org.marigoldmill.server.Clock;
@@ -30,6 +31,7 @@
       EngineVersions versions,
       UpstreamSender sender,
       Forwarder forwarder,
+      EngineLimits limits,
       FleetLog fleet,
       Executor executor,
       Metrics metrics,
@@ -44,6 +46,7 @@
             membership,
             allocator,
             loads,
+            limits,
             versions,
             runner,
             executor,
--- a/server/src/main/java/org/marigoldmill/server/deployment/EngineRegistry.java
+++ b/server/src/main/java/org/marigoldmill/server/deployment/EngineRegistry.java
@@ -33,7 +33,7 @@
     this.versions = versions;
   }
 
-  /** Registers a listener that is called with the id of each upstream that is removed. */
+  /** Registers a listener, called with the id of each upstream that is gone or started again. */
   public void addRemovalListener(Consumer<String> listener) {
     removalListeners.add(listener);
   }
@@ -92,6 +92,7 @@
     }
     if (before != null && before.incarnation() < engine.incarnation()) {
       versions.remove(engine.id());
+      notifyRemoved(engine.id());
     }
     engines.put(engine.id(), engine);
     engine.versions().forEach((model, v) -> versions.recordReportedVersion(engine.id(), model, v));
--- a/server/src/main/java/org/marigoldmill/server/duty/WeightOrderDispatcher.java
+++ b/server/src/main/java/org/marigoldmill/server/duty/WeightOrderDispatcher.java
@@ -4,6 +4,8 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
+import org.marigoldmill.core.limit.EngineLimits;
+import org.marigoldmill.core.limit.Urgency;
 import org.marigoldmill.core.placement.Engine;
 import org.marigoldmill.core.weights.EngineVersions;
 import org.marigoldmill.core.weights.LoadQueue;
@@ -16,6 +18,7 @@
 import org.marigoldmill.server.Clock;
 import org.marigoldmill.server.deployment.EngineRegistry;
 import org.marigoldmill.server.deployment.UpstreamProtocol;
+import org.marigoldmill.server.gateway.AnswerObserver;
 
 /** Orders engines to load weights while this instance holds the duty lease. */
 public final class WeightOrderDispatcher {
@@ -35,6 +38,8 @@
   private final FleetLog fleet;
   private final UpstreamProtocol protocol;
   private final HttpClient client;
+  private final AnswerObserver answers;
+  private final EngineLimits limits;
   private final LoadQueue loads;
   private final String instance;
   private final Clock clock;
@@ -54,6 +59,8 @@
       FleetLog fleet,
       UpstreamProtocol protocol,
       HttpClient client,
+      AnswerObserver answers,
+      EngineLimits limits,
       LoadQueue loads,
       String instance,
       Clock clock) {
@@ -63,6 +70,8 @@
     this.fleet = fleet;
     this.protocol = protocol;
     this.client = client;
+    this.answers = answers;
+    this.limits = limits;
     this.loads = loads;
     this.instance = instance;
     this.clock = clock;
@@ -100,7 +109,7 @@
             .timeouts(CONNECT_TIMEOUT_MS, SEND_TIMEOUT_MS, SEND_TIMEOUT_MS)
             .gate(() -> lease.requireFencingToken(CONNECT_TIMEOUT_MS));
     try {
-      HttpResponse response = client.exchange(call);
+      HttpResponse response = exchange(engine, call);
       applyAnswer(
           engine, order, expectedCount, epoch, protocol.orderAnswer(response), response.status());
     } catch (HttpCallException e) {
@@ -150,7 +159,7 @@
             .report(engine.address())
             .timeouts(CONNECT_TIMEOUT_MS, SEND_TIMEOUT_MS, SEND_TIMEOUT_MS);
     try {
-      Optional<UpstreamProtocol.EngineReport> report = protocol.report(client.exchange(call));
+      Optional<UpstreamProtocol.EngineReport> report = protocol.report(exchange(engine, call));
       logger.atInfo().log("engine report received engine=%s report=%s", engine.id(), report);
       report.ifPresent(
           r ->
@@ -167,6 +176,15 @@
     }
   }
 
+  /** Sends without delay, but takes a turn, so that other requests make room. */
+  private HttpResponse exchange(Engine engine, HttpCall call) {
+    limits.acquireAhead(engine.id(), Urgency.BACKGROUND, clock.now());
+    answers.recordSent(engine.id(), engine.incarnation());
+    HttpResponse response = client.exchange(call);
+    answers.recordAnswer(engine.id(), engine.incarnation(), response.headers());
+    return response;
+  }
+
   /** Requires a fresh report before the next order, once it must reflect the last one. */
   private void deferOrders(Engine engine) {
     ordersAccepted.remove(incarnation(engine));
--- a/server/src/main/java/org/marigoldmill/server/gateway/Forwarder.java
+++ b/server/src/main/java/org/marigoldmill/server/gateway/Forwarder.java
@@ -8,6 +8,8 @@
 import java.util.Set;
 import org.marigoldmill.core.attempt.AttemptTracker;
 import org.marigoldmill.core.error.ErrorKind;
+import org.marigoldmill.core.limit.LimitWait;
+import org.marigoldmill.core.limit.Urgency;
 import org.marigoldmill.core.placement.Engine;
 import org.marigoldmill.core.route.Route;
 import org.marigoldmill.core.routing.UpstreamTable;
@@ -20,6 +22,7 @@
 import org.marigoldmill.server.Pause;
 import org.marigoldmill.server.deployment.UpstreamProtocol;
 import org.marigoldmill.server.deployment.UpstreamProtocol.Attempt;
+import org.marigoldmill.server.gateway.UpstreamPicker.Pick;
 import org.marigoldmill.server.gateway.UpstreamPicker.PickedUpstream;
 
 /** Forwards requests to upstreams, with retries where the route allows them. */
@@ -44,6 +47,7 @@
    * @param headers headers to send to the upstream
    * @param body complete body
    * @param organisation organisation of the caller, if the route requires a key
+   * @param urgency which requests go first at an upstream with a request limit
    * @param deadlineMs time on the monotonic clock until which the caller waits, in milliseconds
    * @param cancellation cancelled when the caller disconnects
    */
@@ -58,6 +62,7 @@
       List<HttpCall.Header> headers,
       byte[] body,
       Optional<String> organisation,
+      Urgency urgency,
       long deadlineMs,
       Cancellation cancellation) {
 
@@ -92,6 +97,7 @@
    * @param attempts attempts that may have run
    * @param failures attempts that the upstream provably answered with status 500
    * @param engine upstream of the last attempt
+   * @param retryAfterMs time after which a refused caller may come back, in milliseconds
    */
   public record Outcome(
       Optional<HttpResponse> response,
@@ -99,7 +105,8 @@
       boolean ran,
       int attempts,
       int failures,
-      String engine) {}
+      String engine,
+      long retryAfterMs) {}
 
   private final UpstreamPicker picker;
   private final UpstreamTable upstreams;
@@ -132,6 +139,7 @@
     private final Set<String> tried = new HashSet<>();
     private final AttemptTracker record;
     private String engine = "";
+    private long retryAfterMs = RETRY_AFTER_MS;
     private Optional<HttpResponse> response = Optional.empty();
 
     private AttemptLoop(Request request) {
@@ -150,7 +158,8 @@
           record.hasStarted(),
           record.attempts(),
           record.failures(),
-          engine);
+          engine,
+          retryAfterMs);
     }
 
     /** Makes one attempt; returns whether the request was sent. */
@@ -169,26 +178,40 @@
         record.recordCancelled();
         return false;
       }
-      Optional<PickedUpstream> picked = pickUpstream();
-      if (picked.isEmpty()) {
+      Pick pick = pickUpstream(remainingMs);
+      if (pick.picked().isEmpty()) {
+        recordNoUpstream(pick);
         return false;
       }
-      engine = picked.get().engine().id();
+      PickedUpstream upstream = pick.picked().get();
+      Pause.millis(upstream.waitMs());
+      engine = upstream.engine().id();
       tried.add(engine);
-      attempt(picked.get(), remainingMs);
+      attempt(upstream, remainingMs - upstream.waitMs());
       return true;
     }
 
     /** Prefers untried upstreams; once all have been tried, starts over after a delay. */
-    private Optional<PickedUpstream> pickUpstream() {
-      Optional<PickedUpstream> picked =
-          picker.pick(request.service(), name -> !tried.contains(name));
-      if (picked.isEmpty() && !tried.isEmpty()) {
+    private Pick pickUpstream(long remainingMs) {
+      long maxWaitMs = LimitWait.maxMs(request.route(), remainingMs);
+      Pick pick =
+          picker.pick(
+              request.service(), request.urgency(), name -> !tried.contains(name), maxWaitMs);
+      if (pick.picked().isEmpty() && !tried.isEmpty()) {
         tried.clear();
         Pause.millis(RETRY_DELAY_MS);
-        picked = picker.pick(request.service(), name -> true);
+        pick = picker.pick(request.service(), request.urgency(), name -> true, maxWaitMs);
+      }
+      return pick;
+    }
+
+    private void recordNoUpstream(Pick pick) {
+      if (pick.limited()) {
+        retryAfterMs = LimitWait.retryAfterMs(pick.turnInMs(), request.id());
+        logger.atInfo().log(
+            "request beyond limits id=%s service=%s urgency=%s turn_in_ms=%s retry_after_ms=%d",
+            request.id(), request.service(), request.urgency(), pick.turnInMs(), retryAfterMs);
       }
-      return picked;
     }
 
     private void attempt(PickedUpstream picked, long remainingMs) {
--- a/server/src/main/java/org/marigoldmill/server/gateway/Gateway.java
+++ b/server/src/main/java/org/marigoldmill/server/gateway/Gateway.java
@@ -15,6 +15,7 @@
 import java.util.function.LongSupplier;
 import org.marigoldmill.core.error.ErrorKind;
 import org.marigoldmill.core.error.MarigoldmillException;
+import org.marigoldmill.core.limit.Urgency;
 import org.marigoldmill.core.route.DeploymentConfig;
 import org.marigoldmill.core.route.Route;
 import org.marigoldmill.http.HttpResponse;
@@ -342,6 +343,7 @@
             protocol.forwardedHeaders(exchange),
             body,
             organisation,
+            Urgency.CALL,
             arrivedAtMs + timeoutMs,
             disconnects.watch(exchange));
     if (route.streaming()) {
@@ -363,7 +365,7 @@
         outcome
             .response()
             .map(a -> new HttpResponse(a.status(), protocol.returnedHeaders(a.headers()), a.body()))
-            .orElseGet(() -> protocol.errorResponse(outcome.kind(), Forwarder.RETRY_AFTER_MS));
+            .orElseGet(() -> protocol.errorResponse(outcome.kind(), outcome.retryAfterMs()));
     return new Result(
         response, service, outcome.response().isPresent() ? detail : "refused " + detail);
   }
@@ -381,7 +383,9 @@
     return outcome.begun()
         ? new Result(new HttpResponse(200, List.of(), new byte[0]), request.service(), detail)
         : new Result(
-            protocol.errorResponse(outcome.kind(), RETRY_AFTER_MS), request.service(), detail);
+            protocol.errorResponse(outcome.kind(), outcome.retryAfterMs()),
+            request.service(),
+            detail);
   }
 
   private String organisation(KnownConfig known, HttpServerExchange exchange) {
--- a/server/src/main/java/org/marigoldmill/server/gateway/StreamForwarder.java
+++ b/server/src/main/java/org/marigoldmill/server/gateway/StreamForwarder.java
@@ -8,11 +8,11 @@
 import java.io.OutputStream;
 import java.util.HashSet;
 import java.util.List;
-import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
 import org.marigoldmill.core.attempt.AttemptTracker;
 import org.marigoldmill.core.error.ErrorKind;
+import org.marigoldmill.core.limit.LimitWait;
 import org.marigoldmill.core.placement.Engine;
 import org.marigoldmill.core.routing.UpstreamTable;
 import org.marigoldmill.core.submission.EventSplitter;
@@ -22,8 +22,10 @@
 import org.marigoldmill.http.HttpStream;
 import org.marigoldmill.schema.platform.PlatformInstance;
 import org.marigoldmill.server.Clock;
+import org.marigoldmill.server.Pause;
 import org.marigoldmill.server.deployment.CallerProtocol;
 import org.marigoldmill.server.deployment.UpstreamProtocol.Attempt;
+import org.marigoldmill.server.gateway.UpstreamPicker.Pick;
 import org.marigoldmill.server.gateway.UpstreamPicker.PickedUpstream;
 import org.xnio.IoUtils;
 
@@ -53,8 +55,15 @@
    *     relayed
    * @param kind reason for an incomplete stream
    * @param engine engine of the last attempt
+   * @param retryAfterMs time after which a refused caller may come back, in milliseconds
    */
-  public record Outcome(boolean begun, boolean whole, boolean ran, ErrorKind kind, String engine) {}
+  public record Outcome(
+      boolean begun,
+      boolean whole,
+      boolean ran,
+      ErrorKind kind,
+      String engine,
+      long retryAfterMs) {}
 
   private final UpstreamPicker picker;
   private final UpstreamTable upstreams;
@@ -96,6 +105,7 @@
     private OptionalLong lastEvent = OptionalLong.empty();
     private final AttemptTracker record;
     private String engine = "";
+    private long retryAfterMs = Forwarder.RETRY_AFTER_MS;
     private boolean begun;
     private boolean whole;
 
@@ -113,7 +123,7 @@
       if (begun && !whole) {
         IoUtils.safeClose(exchange.getConnection());
       }
-      return new Outcome(begun, whole, record.hasStarted(), record.kind(), engine);
+      return new Outcome(begun, whole, record.hasStarted(), record.kind(), engine, retryAfterMs);
     }
 
     /** Makes one attempt; returns whether another may follow. */
@@ -127,19 +137,19 @@
         record.recordCancelled();
         return false;
       }
-      Optional<PickedUpstream> picked =
-          picker
-              .pick(request.service(), name -> !tried.contains(name))
-              .or(() -> picker.pick(request.service(), name -> true));
-      if (picked.isEmpty()) {
+      Pick pick = pickEngine(remainingMs);
+      if (pick.picked().isEmpty()) {
+        recordNoEngine(pick);
         return false;
       }
-      PlatformInstance instance = picked.get().instance();
-      engine = picked.get().engine().id();
+      PickedUpstream picked = pick.picked().get();
+      Pause.millis(picked.waitMs());
+      PlatformInstance instance = picked.instance();
+      engine = picked.engine().id();
       tried.add(engine);
       record.recordSent();
       try {
-        send(picked.get().engine(), remainingMs);
+        send(picked.engine(), remainingMs - picked.waitMs());
         upstreams.recordSuccess(instance);
         return true;
       } catch (HttpCallException e) {
@@ -153,6 +163,25 @@
       }
     }
 
+    private Pick pickEngine(long remainingMs) {
+      long maxWaitMs = LimitWait.maxMs(request.route(), remainingMs);
+      Pick pick =
+          picker.pick(
+              request.service(), request.urgency(), name -> !tried.contains(name), maxWaitMs);
+      return pick.picked().isPresent() || tried.isEmpty()
+          ? pick
+          : picker.pick(request.service(), request.urgency(), name -> true, maxWaitMs);
+    }
+
+    private void recordNoEngine(Pick pick) {
+      if (pick.limited()) {
+        retryAfterMs = LimitWait.retryAfterMs(pick.turnInMs(), request.id());
+        logger.atInfo().log(
+            "stream beyond limits id=%s service=%s turn_in_ms=%s retry_after_ms=%d",
+            request.id(), request.service(), pick.turnInMs(), retryAfterMs);
+      }
+    }
+
     private void send(Engine target, long remainingMs) throws IOException {
       Attempt attempt = request.attempt(target, lastEvent, remainingMs);
       HttpCall call =
--- a/server/src/main/java/org/marigoldmill/server/gateway/UpstreamPicker.java
+++ b/server/src/main/java/org/marigoldmill/server/gateway/UpstreamPicker.java
@@ -1,7 +1,12 @@
 package org.marigoldmill.server.gateway;
 
+import java.util.HashSet;
 import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.Set;
 import java.util.function.Predicate;
+import org.marigoldmill.core.limit.EngineLimits;
+import org.marigoldmill.core.limit.Urgency;
 import org.marigoldmill.core.placement.Engine;
 import org.marigoldmill.core.routing.UpstreamTable;
 import org.marigoldmill.schema.platform.PlatformInstance;
@@ -13,16 +18,34 @@
   /** The platform limits connections, not requests, so instances set no limit of their own. */
   private static final int NO_LIMIT = Integer.MAX_VALUE;
 
+  /** Upstreams whose request limit is asked, so that the cost does not grow with the service. */
+  private static final int MAX_LIMITS_ASKED = 6;
+
   /**
    * A picked upstream.
    *
    * @param instance entry in the upstream table, to be released after the attempt
    * @param engine registration with the address
+   * @param waitMs time until its turn at an upstream with a request limit, in milliseconds
    */
-  record PickedUpstream(PlatformInstance instance, Engine engine) {}
+  record PickedUpstream(PlatformInstance instance, Engine engine, long waitMs) {}
+
+  /**
+   * The outcome of a choice.
+   *
+   * @param picked the upstream, or empty if none may be sent the request now
+   * @param limited whether an upstream would have been picked if it named no request limit
+   * @param turnInMs time until the next turn at one of those, in milliseconds; empty if unknown
+   */
+  record Pick(Optional<PickedUpstream> picked, boolean limited, OptionalLong turnInMs) {
+    private static Pick of(PickedUpstream upstream) {
+      return new Pick(Optional.of(upstream), false, OptionalLong.empty());
+    }
+  }
 
   private final EngineRegistry registry;
   private final UpstreamTable upstreams;
+  private final EngineLimits limits;
   private final String zone;
   private final Clock clock;
 
@@ -32,9 +55,14 @@
    * @param zone availability zone whose upstreams are preferred
    */
   public UpstreamPicker(
-      EngineRegistry registry, UpstreamTable upstreams, String zone, Clock clock) {
+      EngineRegistry registry,
+      UpstreamTable upstreams,
+      EngineLimits limits,
+      String zone,
+      Clock clock) {
     this.registry = registry;
     this.upstreams = upstreams;
+    this.limits = limits;
     this.zone = zone;
     this.clock = clock;
   }
@@ -44,9 +72,52 @@
    *
    * @param service service that runs the request
    * @param eligible whether the upstream of a given name may be picked
-   * @return the upstream, or empty if none is eligible
+   * @param maxWaitMs longest time for which the request may wait for its turn, in milliseconds
    */
-  Optional<PickedUpstream> pick(String service, Predicate<String> eligible) {
+  Pick pick(String service, Urgency urgency, Predicate<String> eligible, long maxWaitMs) {
+    Set<String> denied = new HashSet<>();
+    while (denied.size() < MAX_LIMITS_ASKED) {
+      Optional<PickedUpstream> next =
+          acquire(service, n -> eligible.test(n) && !denied.contains(n));
+      if (next.isEmpty()) {
+        break;
+      }
+      String name = next.get().engine().id();
+      if (limits.tryAcquire(name, urgency, clock.now())) {
+        return Pick.of(next.get());
+      }
+      upstreams.release(next.get().instance());
+      denied.add(name);
+    }
+    return pickAhead(service, urgency, denied, maxWaitMs);
+  }
+
+  /** Takes the next turn at one of the upstreams that denied the request, if it comes in time. */
+  private Pick pickAhead(String service, Urgency urgency, Set<String> denied, long maxWaitMs) {
+    Optional<String> soonest = Optional.empty();
+    long turnInMs = Long.MAX_VALUE;
+    for (String name : denied) {
+      long waitMs = limits.waitMs(name, urgency, clock.now()).orElse(Long.MAX_VALUE);
+      if (waitMs < turnInMs) {
+        turnInMs = waitMs;
+        soonest = Optional.of(name);
+      }
+    }
+    if (turnInMs <= maxWaitMs) {
+      String name = soonest.orElseThrow();
+      Optional<PickedUpstream> upstream = acquire(service, name::equals);
+      if (upstream.isPresent()) {
+        limits.acquireAhead(name, urgency, clock.now());
+        PickedUpstream now = upstream.get();
+        return Pick.of(new PickedUpstream(now.instance(), now.engine(), turnInMs));
+      }
+    }
+    OptionalLong known =
+        turnInMs == Long.MAX_VALUE ? OptionalLong.empty() : OptionalLong.of(turnInMs);
+    return new Pick(Optional.empty(), !denied.isEmpty(), known);
+  }
+
+  private Optional<PickedUpstream> acquire(String service, Predicate<String> eligible) {
     Optional<PlatformInstance> instance =
         upstreams.acquire(service, zone, NO_LIMIT, i -> eligible.test(i.getName()), clock.now());
     return instance.flatMap(this::resolve);
@@ -58,6 +129,6 @@
     if (engine.isEmpty()) {
       upstreams.release(instance);
     }
-    return engine.map(e -> new PickedUpstream(instance, e));
+    return engine.map(e -> new PickedUpstream(instance, e, 0));
   }
 }
