--- a/core/src/main/java/org/marigoldmill/core/placement/Engine.java
+++ b/core/src/main/java/org/marigoldmill/core/placement/Engine.java
@@ -8,6 +8,7 @@
  * @param id identifier of this incarnation of the upstream
  * @param incarnation time at which it started, in Unix milliseconds
  * @param service name of the service that it belongs to
+ * @param softwareVersion version of the software that it runs, not of the weights
  * @param address address that it listens on
  * @param zone availability zone
  * @param slots maximum number of concurrent requests
@@ -19,6 +20,7 @@
     String id,
     long incarnation,
     String service,
+    String softwareVersion,
     String address,
     String zone,
     int slots,
--- a/core/src/main/java/org/marigoldmill/core/submission/GeneratedText.java
+++ b/core/src/main/java/org/marigoldmill/core/submission/GeneratedText.java
@@ -8,15 +8,23 @@
 public final class GeneratedText {
   private final StringBuilder text = new StringBuilder();
   private final TreeSet<Long> versions = new TreeSet<>();
+  private final TreeSet<String> softwareVersions = new TreeSet<>();
   private OptionalLong lastEventId = OptionalLong.empty();
   private long version;
+  private String runSoftwareVersion = "";
 
   /** Creates an empty text. */
   public GeneratedText() {}
 
-  /** Sets the version of the weights that a new run starts with; the text is continued. */
-  public void startRun(long initialVersion) {
+  /**
+   * Sets the versions of a new run; the text is continued.
+   *
+   * @param initialVersion version of the weights that it starts with
+   * @param softwareVersion version of the engine's software
+   */
+  public void startRun(long initialVersion, String softwareVersion) {
     version = initialVersion;
+    runSoftwareVersion = softwareVersion;
   }
 
   /**
@@ -34,6 +42,7 @@
     }
     version = event.version().orElse(version);
     versions.add(version);
+    softwareVersions.add(runSoftwareVersion);
     text.append(event.data());
     lastEventId = OptionalLong.of(event.id());
   }
@@ -42,6 +51,7 @@
   public void restart() {
     text.setLength(0);
     versions.clear();
+    softwareVersions.clear();
     lastEventId = OptionalLong.empty();
   }
 
@@ -55,6 +65,11 @@
     return List.copyOf(versions);
   }
 
+  /** Returns the versions of the software of the engines that generated the text. */
+  public List<String> softwareVersions() {
+    return List.copyOf(softwareVersions);
+  }
+
   /** Returns the text, with the events' data joined by line feeds. */
   public String text() {
     return text.toString();
--- a/core/src/test/java/org/marigoldmill/core/submission/GeneratedTextFuzzTest.java
+++ b/core/src/test/java/org/marigoldmill/core/submission/GeneratedTextFuzzTest.java
@@ -41,7 +41,7 @@
     private void run() {
       runs++;
       version += random.nextInt(2);
-      text.startRun(version);
+      text.startRun(version, "v1");
       EventReader reader = new EventReader("weights");
       long next = text.lastEventId().orElse(0) + 1;
       byte[] bytes = eventsFrom(next).getBytes(UTF_8);
--- a/core/src/test/java/org/marigoldmill/core/submission/GeneratedTextTest.java
+++ b/core/src/test/java/org/marigoldmill/core/submission/GeneratedTextTest.java
@@ -56,7 +56,7 @@
     void should_list_every_version_that_generated_an_event_when_it_changes_during_a_run() {
       // GIVEN
       GeneratedText text = new GeneratedText();
-      text.startRun(7);
+      text.startRun(7, "v1");
       // WHEN
       text.append(new GeneratedEvent(1, "one", OptionalLong.empty()));
       text.append(new GeneratedEvent(2, "two", OptionalLong.of(8)));
@@ -68,8 +68,8 @@
     @Test
     void should_not_list_the_version_of_a_run_that_generated_nothing() {
       GeneratedText text = new GeneratedText();
-      text.startRun(7);
-      text.startRun(8);
+      text.startRun(7, "v1");
+      text.startRun(8, "v1");
       text.append(new GeneratedEvent(1, "one", OptionalLong.empty()));
       assertThat(text.versions()).containsExactly(8L);
     }
--- a/server/src/main/java/org/marigoldmill/server/batch/ItemRunner.java
+++ b/server/src/main/java/org/marigoldmill/server/batch/ItemRunner.java
@@ -159,7 +159,7 @@
           task, engine, "version " + version + " differs from earlier versions " + text.versions());
       return false;
     }
-    text.startRun(version);
+    text.startRun(version, engine.softwareVersion());
     return readEvents(task, engine, stream);
   }
 
@@ -206,10 +206,11 @@
     boolean mixedVersions =
         task.submission().getSingleVersion() && task.text().versions().size() > 1;
     logger.atInfo().log(
-        "item generated id=%s submission=%s engine=%s events=%d versions=%s ms=%d",
+        "item generated id=%s submission=%s engine=%s software=%s events=%d versions=%s ms=%d",
         task.item().getId(),
         task.submission().getId(),
         engine.id(),
+        task.text().softwareVersions(),
         events,
         task.text().versions(),
         durationMs);
--- a/server/src/main/java/org/marigoldmill/server/deployment/EngineRegistry.java
+++ b/server/src/main/java/org/marigoldmill/server/deployment/EngineRegistry.java
@@ -98,8 +98,13 @@
     engine.versions().forEach((model, v) -> versions.recordReportedVersion(engine.id(), model, v));
     if (before == null || before.draining() != engine.draining()) {
       logger.atInfo().log(
-          "engine listed id=%s service=%s zone=%s draining=%s versions=%s",
-          engine.id(), engine.service(), engine.zone(), engine.draining(), engine.versions());
+          "engine listed id=%s service=%s software=%s zone=%s draining=%s versions=%s",
+          engine.id(),
+          engine.service(),
+          engine.softwareVersion(),
+          engine.zone(),
+          engine.draining(),
+          engine.versions());
       routingTableStale = true;
     } else if (!before.address().equals(engine.address())) {
       routingTableStale = true;
--- a/server/src/test/java/org/marigoldmill/server/deployment/TextCodec.java
+++ b/server/src/test/java/org/marigoldmill/server/deployment/TextCodec.java
@@ -39,7 +39,16 @@
     boolean draining = words.get(1).equals("draining");
     return Optional.of(
         new Engine(
-            key, Long.parseLong(words.get(0)), "s", "a:1", "z", 1, draining, false, Map.of()));
+            key,
+            Long.parseLong(words.get(0)),
+            "s",
+            "v1",
+            "a:1",
+            "z",
+            1,
+            draining,
+            false,
+            Map.of()));
   }
 
   private static long number(byte[] value) {
