--- a/cli/src/test/java/org/marigoldmill/cli/deployment/DeploymentCluster.java
+++ b/cli/src/test/java/org/marigoldmill/cli/deployment/DeploymentCluster.java
@@ -15,6 +15,7 @@
 import java.util.List;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.BooleanSupplier;
+import java.util.stream.Stream;
 import org.marigoldmill.cli.process.DeploymentProcess;
 import org.marigoldmill.cli.process.ProcessCluster;
 import org.marigoldmill.http.HttpCall;
@@ -53,6 +54,7 @@
    */
   DeploymentCluster(String... extraSettings) {
     this.extraSettings = extraSettings;
+    deleteFilesOfEarlierRuns();
     store.put("op", "config", config(1));
     store.put("servers", "e-1", engine.entry("llm"));
     store.put("servers", "p-1", plain.entry("app"));
@@ -60,6 +62,16 @@
     startInstances("one", "two");
   }
 
+  private void deleteFilesOfEarlierRuns() {
+    try (Stream<Path> files = Files.exists(directory) ? Files.list(directory) : Stream.empty()) {
+      for (Path file : files.toList()) {
+        Files.delete(file);
+      }
+    } catch (IOException e) {
+      throw new UncheckedIOException(e);
+    }
+  }
+
   /** Starts instances and waits until they are ready. */
   void startInstances(String... names) {
     startInstancesAt(store.address(), names);
@@ -142,20 +154,27 @@
         body.toString().getBytes(UTF_8));
   }
 
+  /** Sends a GET request with more headers on a new connection. */
+  HttpResponse sendWith(int instance, String path, String id, Header... more) {
+    return exchange(
+        HttpCall.get(instances.get(instance).callerAddress(), path)
+            .headers(Stream.concat(headers(id, "key").stream(), Stream.of(more)).toList()));
+  }
+
   /** Sends a request on a new connection; a failed call yields status 599 with its message. */
   HttpResponse send(
       String address, String method, String path, String id, String key, byte[] body) {
-    HttpCall call =
-        HttpCall.post(address, path, body)
-            .method(method)
-            .headers(
-                List.of(
-                    new Header("Host", "h"),
-                    new Header("Api-Key", key),
-                    new Header("X-Attempt-Id", id)))
-            .onFreshConnection();
+    return exchange(HttpCall.post(address, path, body).method(method).headers(headers(id, key)));
+  }
+
+  private static List<Header> headers(String id, String key) {
+    return List.of(
+        new Header("Host", "h"), new Header("Api-Key", key), new Header("X-Attempt-Id", id));
+  }
+
+  private HttpResponse exchange(HttpCall call) {
     try {
-      return client.exchange(call);
+      return client.exchange(call.onFreshConnection());
     } catch (HttpCallException e) {
       return HttpResponse.text(599, e.getMessage());
     }
--- a/cli/src/test/java/org/marigoldmill/cli/deployment/EngineStandin.java
+++ b/cli/src/test/java/org/marigoldmill/cli/deployment/EngineStandin.java
@@ -47,6 +47,7 @@
   private final Queue<String> abortedRequests = new ConcurrentLinkedQueue<>();
   private final AtomicBoolean closed = new AtomicBoolean();
   private volatile String requestLimit = "";
+  private volatile String softwareVersion = "v1";
   private final HttpServer server;
 
   public EngineStandin(String id, String model, int events, long eventMs) {
@@ -94,11 +95,17 @@
   public ObjectNode entry(String service) {
     ObjectNode entry = MAPPER.createObjectNode();
     entry.put("service", service).put("address", server.address()).put("zone", "a");
+    entry.put("version", softwareVersion);
     entry.put("slots", 4).put("state", "ready").put("seq", 17).put("born", 1);
     entry.putArray("models").addObject().put("name", model).put("version", version.get());
     return entry;
   }
 
+  /** Sets the software version of entries from now on. */
+  void softwareVersion(String version) {
+    softwareVersion = version;
+  }
+
   /** Sets the request limit that each answer names from now on; empty for none. */
   void requestLimit(String perSecond) {
     requestLimit = perSecond;
--- /dev/null
+++ b/cli/src/test/java/org/marigoldmill/cli/deployment/SoftwareVersionsIT.java
@@ -0,0 +1,177 @@
+package org.marigoldmill.cli.deployment;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.marigoldmill.cli.deployment.DeploymentCluster.EVENTS;
+import static org.marigoldmill.cli.deployment.DeploymentCluster.ITEMS;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.List;
+import java.util.stream.IntStream;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.marigoldmill.http.HttpCall.Header;
+import org.marigoldmill.http.HttpResponse;
+
+/** Engines of two software versions side by side, behind two instances. */
+class SoftwareVersionsIT {
+  private static final int STREAMS = 8;
+
+  private DeploymentCluster cluster;
+  private EngineStandin newer;
+
+  @BeforeEach
+  void start() {
+    cluster = new DeploymentCluster();
+    DeploymentCluster.await(() -> logged("default software service=llm software=v1"));
+    newer = new EngineStandin("e-2", "m", EVENTS, 20);
+    newer.softwareVersion("v2");
+    cluster.store.put("servers", "e-2", newer.entry("llm"));
+    DeploymentCluster.await(() -> logged("engine listed id=e-2"));
+  }
+
+  @AfterEach
+  void stop() {
+    newer.close();
+    cluster.close();
+  }
+
+  private boolean logged(String line) {
+    return cluster.instances.stream().allMatch(i -> i.process().output().contains(line));
+  }
+
+  private boolean ranOnBoth(String request) {
+    return cluster.engine.startedRequests().contains(request)
+        && newer.startedRequests().contains(request);
+  }
+
+  private HttpResponse stream(int instance, String path, String id, Header... more) {
+    return cluster.sendWith(instance, path, id, more);
+  }
+
+  @Nested
+  class Items {
+    @Test
+    void should_hold_events_of_one_version_when_engines_break_off() {
+      // GIVEN
+      ObjectNode submission = DeploymentCluster.submission();
+      submission
+          .get("items")
+          .forEach(i -> ((ObjectNode) i).put("path", i.get("path").asText() + "/broken"));
+      // WHEN
+      assertThat(cluster.post(0, "/batch/v1", "v1", submission).status()).isEqualTo(202);
+      DeploymentCluster.await(() -> cluster.results(0, "v1", 0).get("next").asInt() == ITEMS);
+      // THEN
+      assertThat(IntStream.range(0, ITEMS).mapToObj(i -> "item-" + i))
+          .noneMatch(SoftwareVersionsIT.this::ranOnBoth);
+    }
+
+    @Test
+    void should_begin_anew_when_no_engine_of_their_version_is_left() {
+      // GIVEN
+      cluster.store.put("servers", "e-2", null);
+      DeploymentCluster.await(() -> logged("engine gone id=e-2"));
+      assertThat(cluster.post(0, "/batch/v2", "v2", DeploymentCluster.submission()).status())
+          .isEqualTo(202);
+      DeploymentCluster.await(() -> !cluster.engine.startedRequests().isEmpty());
+      // WHEN
+      cluster.store.put("servers", "e-2", newer.entry("llm"));
+      cluster.store.put("servers", "e-1", null);
+      cluster.engine.close();
+      // THEN
+      DeploymentCluster.await(() -> cluster.results(0, "v2", 0).get("next").asInt() == ITEMS);
+      cluster
+          .results(0, "v2", 0)
+          .get("results")
+          .forEach(
+              r ->
+                  assertThat(r.get("text").asText()).isEqualTo(EngineStandin.completeText(EVENTS)));
+    }
+  }
+
+  @Nested
+  class Streams {
+    @Test
+    void should_go_on_at_the_version_that_began_them_when_an_engine_breaks_off() {
+      for (int i = 0; i < STREAMS; i++) {
+        String id = "broken-" + i;
+        assertThat(stream(i % 2, "/gen/broken", id).status()).isEqualTo(200);
+        assertThat(ranOnBoth(id)).isFalse();
+      }
+    }
+
+    @Test
+    void should_go_on_at_the_version_that_began_them_when_their_instance_is_dead() {
+      // GIVEN
+      for (int i = 0; i < STREAMS; i++) {
+        assertThat(stream(0, "/gen/x", "begun-" + i).status()).isEqualTo(200);
+      }
+      assertThat(newer.startedRequests()).isNotEmpty();
+      assertThat(cluster.engine.startedRequests()).isNotEmpty();
+      cluster.instances.get(0).kill();
+      // WHEN, THEN
+      for (int i = 0; i < STREAMS; i++) {
+        HttpResponse rest =
+            stream(
+                1,
+                "/gen/x",
+                "resumed-" + i,
+                new Header("Last-Event-Id", "4"),
+                new Header("Resumes", "begun-" + i));
+        assertThat(rest.status()).isEqualTo(200);
+        assertThat(rest.text()).startsWith("id: 5\n");
+        assertThat(newer.startedRequests().contains("resumed-" + i))
+            .isEqualTo(newer.startedRequests().contains("begun-" + i));
+      }
+    }
+
+    @Test
+    void should_be_refused_as_not_run_when_no_engine_of_their_version_is_left() {
+      // GIVEN
+      List<String> begun =
+          IntStream.range(0, STREAMS)
+              .mapToObj(i -> "left-" + i)
+              .peek(id -> assertThat(stream(0, "/gen/x", id).status()).isEqualTo(200))
+              .filter(id -> newer.startedRequests().contains(id))
+              .toList();
+      cluster.store.put("servers", "e-2", null);
+      DeploymentCluster.await(() -> logged("engine gone id=e-2"));
+      // WHEN, THEN
+      assertThat(begun).isNotEmpty();
+      for (String id : begun) {
+        HttpResponse answer =
+            stream(
+                1,
+                "/gen/x",
+                "again-" + id,
+                new Header("Last-Event-Id", "4"),
+                new Header("Resumes", id));
+        assertThat(answer.status()).isEqualTo(503);
+        assertThat(cluster.engine.startedRequests()).doesNotContain("again-" + id);
+      }
+    }
+
+    @Test
+    void should_go_on_or_be_refused_but_not_mix_versions_while_the_store_is_silent() {
+      // GIVEN
+      cluster.store.unavailable(true);
+      // WHEN
+      for (int i = 0; i < STREAMS; i++) {
+        String id = "silent-" + i;
+        int status = stream(0, "/gen/x", id).status();
+        assertThat(status).isEqualTo(200);
+        HttpResponse rest =
+            stream(
+                1,
+                "/gen/x",
+                "then-" + i,
+                new Header("Last-Event-Id", "4"),
+                new Header("Resumes", id));
+        // THEN
+        assertThat(rest.status()).isIn(200, 503);
+        assertThat(newer.startedRequests()).doesNotContain("then-" + i);
+      }
+    }
+  }
+}
--- a/core/src/main/java/org/marigoldmill/core/submission/GeneratedText.java
+++ b/core/src/main/java/org/marigoldmill/core/submission/GeneratedText.java
@@ -1,6 +1,7 @@
 package org.marigoldmill.core.submission;
 
 import java.util.List;
+import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.TreeSet;
 
@@ -8,10 +9,10 @@
 public final class GeneratedText {
   private final StringBuilder text = new StringBuilder();
   private final TreeSet<Long> versions = new TreeSet<>();
-  private final TreeSet<String> softwareVersions = new TreeSet<>();
   private OptionalLong lastEventId = OptionalLong.empty();
   private long version;
   private String runSoftwareVersion = "";
+  private Optional<String> softwareVersion = Optional.empty();
 
   /** Creates an empty text. */
   public GeneratedText() {}
@@ -20,11 +21,16 @@
    * Sets the versions of a new run; the text is continued.
    *
    * @param initialVersion version of the weights that it starts with
-   * @param softwareVersion version of the engine's software
+   * @param engineSoftware version of the engine's software
+   * @throws IllegalArgumentException if the text was begun with another version of the software
    */
-  public void startRun(long initialVersion, String softwareVersion) {
+  public void startRun(long initialVersion, String engineSoftware) {
+    if (softwareVersion.filter(v -> !v.equals(engineSoftware)).isPresent()) {
+      throw new IllegalArgumentException(
+          "software version: expected " + softwareVersion.get() + " but was " + engineSoftware);
+    }
     version = initialVersion;
-    runSoftwareVersion = softwareVersion;
+    runSoftwareVersion = engineSoftware;
   }
 
   /**
@@ -42,7 +48,7 @@
     }
     version = event.version().orElse(version);
     versions.add(version);
-    softwareVersions.add(runSoftwareVersion);
+    softwareVersion = Optional.of(runSoftwareVersion);
     text.append(event.data());
     lastEventId = OptionalLong.of(event.id());
   }
@@ -51,7 +57,7 @@
   public void restart() {
     text.setLength(0);
     versions.clear();
-    softwareVersions.clear();
+    softwareVersion = Optional.empty();
     lastEventId = OptionalLong.empty();
   }
 
@@ -65,9 +71,9 @@
     return List.copyOf(versions);
   }
 
-  /** Returns the versions of the software of the engines that generated the text. */
-  public List<String> softwareVersions() {
-    return List.copyOf(softwareVersions);
+  /** Returns the version of the software that generated the text, or empty without a text. */
+  public Optional<String> softwareVersion() {
+    return softwareVersion;
   }
 
   /** Returns the text, with the events' data joined by line feeds. */
--- a/server/src/main/java/org/marigoldmill/server/DeploymentInstance.java
+++ b/server/src/main/java/org/marigoldmill/server/DeploymentInstance.java
@@ -43,6 +43,7 @@
 import org.marigoldmill.server.gateway.Forwarder;
 import org.marigoldmill.server.gateway.Gateway;
 import org.marigoldmill.server.gateway.StreamForwarder;
+import org.marigoldmill.server.gateway.StreamOrigins;
 import org.marigoldmill.server.gateway.SubmissionService;
 import org.marigoldmill.server.gateway.UpstreamPicker;
 import org.marigoldmill.server.gateway.UpstreamSender;
@@ -66,6 +67,7 @@
   private static final long DISCONNECT_CHECK_INTERVAL_MS = 100;
   private static final long EXPIRY_INTERVAL_MS = 5_000;
   private static final long LIMIT_REPORT_INTERVAL_MS = 250;
+  private static final long ORIGINS_INTERVAL_MS = 1_000;
 
   /** Without the store an instance cannot accept submissions, so it reports itself not ready. */
   private static final long MAX_STORE_OUTAGE_MS = 800;
@@ -104,6 +106,7 @@
   private final CrashLog crashes;
   private final EngineLimits limits;
   private final LimitLog limitLog;
+  private final StreamOrigins origins;
   private final Rollouts rollouts;
   private final DutyCandidacy duties;
   private final Gateway gateway;
@@ -170,6 +173,7 @@
     UpstreamSender sender = new UpstreamSender(client, ports.upstreams(), answers);
     CrashDetector crashDetector =
         new CrashDetector(suspects, client, crashes, pool("crashes", MAX_PROBE_THREADS), clock);
+    this.origins = new StreamOrigins(store, engines, settings.getPartitions(), clock);
     UpstreamPicker picker =
         new UpstreamPicker(engines, upstreams, limits, settings.getZone(), clock);
     Forwarder forwarder = new Forwarder(picker, upstreams, sender, crashDetector, clock);
@@ -204,7 +208,7 @@
             deployment,
             operatorFollower::overdueMs,
             forwarder,
-            new StreamForwarder(picker, upstreams, sender, ports.callers(), clock),
+            new StreamForwarder(picker, upstreams, sender, origins, ports.callers(), clock),
             submissions,
             usage,
             metrics,
@@ -391,6 +395,7 @@
     startTask(0, "operator", operatorFollower::pollOnce);
     startTask(0, "engines", engineFollower::pollOnce);
     startTask(0, "crashes-log", crashes.follower()::pollOnce);
+    startTask(0, "origins-log", origins.follower()::pollOnce);
     startTask(0, "limit-log", limitLog.follower()::pollOnce);
     startTask(0, "fleet", () -> duties.follow(fleet.follower()));
     startTask(0, "lease-log", () -> duties.follow(lease.follower()));
@@ -420,6 +425,10 @@
     startTask(duties::intervalMs, "weights", orderDispatcher::sendOrders);
     startTask(duties::intervalMs, "weight-plan", rollouts::planWeights);
     startTask(LIMIT_REPORT_INTERVAL_MS, "limits", limitLog::publishDue);
+    startTask(
+        ORIGINS_INTERVAL_MS,
+        "origins",
+        () -> origins.update(lease.remainsHeldFor(ORIGINS_INTERVAL_MS)));
     startTask(EXPIRY_INTERVAL_MS, "expiry", this::expireSubmissions);
     startTask(DISCONNECT_CHECK_INTERVAL_MS, "caller-watch", gateway::detectDisconnects);
     if (settings.getUsageWindowMs() > 0 && ports.dutyApi().isPresent()) {
--- a/server/src/main/java/org/marigoldmill/server/batch/ItemRunner.java
+++ b/server/src/main/java/org/marigoldmill/server/batch/ItemRunner.java
@@ -210,7 +210,7 @@
         task.item().getId(),
         task.submission().getId(),
         engine.id(),
-        task.text().softwareVersions(),
+        engine.softwareVersion(),
         events,
         task.text().versions(),
         durationMs);
--- a/server/src/main/java/org/marigoldmill/server/batch/ItemTask.java
+++ b/server/src/main/java/org/marigoldmill/server/batch/ItemTask.java
@@ -1,5 +1,6 @@
 package org.marigoldmill.server.batch;
 
+import org.marigoldmill.core.placement.Engine;
 import org.marigoldmill.core.submission.GeneratedText;
 import org.marigoldmill.core.submission.GiveUpRule;
 import org.marigoldmill.http.Cancellation;
@@ -16,6 +17,7 @@
   private volatile boolean cancelled;
   private volatile boolean moving;
   private volatile String engineId = "";
+  private volatile String engineSoftware = "";
   private volatile long startedAtMs;
   private volatile long notBeforeMs = Long.MIN_VALUE;
   private Cancellation attemptCancellation = new Cancellation();
@@ -67,9 +69,10 @@
   }
 
   /** Marks an attempt as started at the given clock time, in milliseconds. */
-  synchronized void startAttempt(String engineId, long nowMs) {
+  synchronized void startAttempt(Engine engine, long nowMs) {
     attemptCancellation = new Cancellation();
-    this.engineId = engineId;
+    engineId = engine.id();
+    engineSoftware = engine.softwareVersion();
     startedAtMs = nowMs;
     moving = false;
     running = true;
@@ -80,6 +83,16 @@
     return engineId;
   }
 
+  /** Returns the software version of the engine of the current or last attempt. */
+  String engineSoftware() {
+    return engineSoftware;
+  }
+
+  /** Returns for how long the item could have been started, in milliseconds. */
+  long waitedMs(long nowMs) {
+    return notBeforeMs == Long.MIN_VALUE ? 0 : Math.max(0, nowMs - notBeforeMs);
+  }
+
   long startedAtMs() {
     return startedAtMs;
   }
--- a/server/src/main/java/org/marigoldmill/server/batch/RolloutScheduler.java
+++ b/server/src/main/java/org/marigoldmill/server/batch/RolloutScheduler.java
@@ -11,6 +11,7 @@
 import java.util.concurrent.Executor;
 import java.util.concurrent.RejectedExecutionException;
 import java.util.stream.Collectors;
+import org.marigoldmill.core.continuation.Continuation;
 import org.marigoldmill.core.limit.EngineLimits;
 import org.marigoldmill.core.limit.Urgency;
 import org.marigoldmill.core.placement.Engine;
@@ -212,15 +213,35 @@
     Map<String, List<Engine>> engines = allocator.enginesByModel();
     Set<String> atLimit = new HashSet<>();
     for (ItemTask task : ready) {
-      Submission submission = task.submission();
-      List<Engine> suitable =
-          engines.getOrDefault(submission.getModel(), List.of()).stream()
-              .filter(e -> canRun(e, submission, now))
-              .toList();
-      acquire(suitable, atLimit, now).ifPresent(e -> startAttempt(task, e));
+      Continuation.Choice choice = choose(task, engines, now);
+      acquire(choice.engines(), atLimit, now).ifPresent(e -> startAttempt(task, e));
     }
   }
 
+  private Continuation.Choice choose(
+      ItemTask task, Map<String, List<Engine>> enginesByModel, long now) {
+    Submission submission = task.submission();
+    List<Engine> allocated = enginesByModel.getOrDefault(submission.getModel(), List.of());
+    Optional<String> begunWith = task.text().softwareVersion();
+    List<Engine> others =
+        begunWith.isEmpty()
+            ? List.of()
+            : enginesByModel.values().stream()
+                .flatMap(List::stream)
+                .filter(e -> !allocated.contains(e))
+                .toList();
+    return Continuation.choose(
+        begunWith,
+        ableToRun(allocated, submission, now),
+        allocated,
+        ableToRun(others, submission, now),
+        task.waitedMs(now));
+  }
+
+  private List<Engine> ableToRun(List<Engine> engines, Submission submission, long now) {
+    return engines.stream().filter(e -> canRun(e, submission, now)).toList();
+  }
+
   /**
    * Reserves a slot at an engine, and a turn where it names a request limit.
    *
@@ -271,12 +292,16 @@
     byModel.forEach(
         (model, running) -> {
           if (backlog(model).waitingItems() == 0) {
-            moveSlowRuns(model, running, engines.getOrDefault(model, List.of()), now);
+            List<Engine> allocated = engines.getOrDefault(model, List.of());
+            running.stream()
+                .collect(Collectors.groupingBy(ItemTask::engineSoftware))
+                .forEach((software, runs) -> moveSlowRuns(model, software, runs, allocated, now));
           }
         });
   }
 
-  private void moveSlowRuns(String model, List<ItemTask> running, List<Engine> engines, long now) {
+  private void moveSlowRuns(
+      String model, String software, List<ItemTask> running, List<Engine> engines, long now) {
     long minVersion =
         running.stream().mapToLong(t -> t.submission().getMinVersion()).max().orElse(0);
     List<MovePolicy.Room> rooms =
@@ -284,6 +309,7 @@
             .filter(e -> !versions.loading(e.id(), model, now))
             .filter(e -> versions.expectedVersion(e.id(), model, now) >= minVersion)
             .filter(e -> !limits.isLimited(e.id()))
+            .filter(e -> e.softwareVersion().equals(software))
             .map(
                 e ->
                     new MovePolicy.Room(
@@ -315,8 +341,24 @@
             });
   }
 
+  private void beginAnew(ItemTask task, String before, Engine engine) {
+    logger.atInfo().log(
+        "item begins anew id=%s engine=%s software=%s before=%s waited_ms=%d last_event=%s",
+        task.item().getId(),
+        engine.id(),
+        engine.softwareVersion(),
+        before,
+        task.waitedMs(clock.now()),
+        task.text().lastEventId());
+    task.text().restart();
+  }
+
   private void startAttempt(ItemTask task, Engine engine) {
-    task.startAttempt(engine.id(), clock.now());
+    task.text()
+        .softwareVersion()
+        .filter(v -> !v.equals(engine.softwareVersion()))
+        .ifPresent(v -> beginAnew(task, v, engine));
+    task.startAttempt(engine, clock.now());
     logger.atFine().log("item started id=%s engine=%s", task.item().getId(), engine.id());
     try {
       executor.execute(() -> runner.run(task, engine));
--- a/server/src/main/java/org/marigoldmill/server/deployment/CallerProtocol.java
+++ b/server/src/main/java/org/marigoldmill/server/deployment/CallerProtocol.java
@@ -48,6 +48,16 @@
   /** Returns the time for which the caller waits, in milliseconds. */
   OptionalLong deadlineMs(HttpServerExchange exchange);
 
+  /**
+   * A stream that a caller takes up after its connection broke.
+   *
+   * @param firstRequest id of the request that brought the first event, if the caller names it
+   */
+  record ResumedStream(Optional<String> firstRequest) {}
+
+  /** Returns the stream that a request takes up, or empty if it begins a stream. */
+  Optional<ResumedStream> resumedStream(HttpServerExchange exchange);
+
   /** Returns the request headers to forward to an upstream. */
   List<HttpCall.Header> forwardedHeaders(HttpServerExchange exchange);
 
--- a/server/src/main/java/org/marigoldmill/server/deployment/EngineRegistry.java
+++ b/server/src/main/java/org/marigoldmill/server/deployment/EngineRegistry.java
@@ -7,6 +7,7 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.function.Consumer;
+import java.util.stream.Collectors;
 import org.marigoldmill.core.placement.Engine;
 import org.marigoldmill.core.routing.UpstreamTable;
 import org.marigoldmill.core.weights.EngineVersions;
@@ -24,6 +25,7 @@
   private final EngineVersions versions;
   private final Map<String, Engine> engines = new ConcurrentHashMap<>();
   private final List<Consumer<String>> removalListeners = new CopyOnWriteArrayList<>();
+  private volatile Map<String, Map<String, Integer>> softwareVersions = Map.of();
   private boolean routingTableStale;
 
   /** Creates an empty registry that updates a routing table and the versions of weights. */
@@ -43,6 +45,11 @@
     return Optional.ofNullable(engines.get(id));
   }
 
+  /** Returns the number of upstreams by service and version of their software. */
+  public Map<String, Map<String, Integer>> softwareVersions() {
+    return softwareVersions;
+  }
+
   /** Returns the upstreams of a service, including draining ones. */
   public List<Engine> enginesOf(String service) {
     return engines.values().stream().filter(e -> e.service().equals(service)).toList();
@@ -106,7 +113,8 @@
           engine.draining(),
           engine.versions());
       routingTableStale = true;
-    } else if (!before.address().equals(engine.address())) {
+    } else if (!before.address().equals(engine.address())
+        || !before.softwareVersion().equals(engine.softwareVersion())) {
       routingTableStale = true;
     }
   }
@@ -116,6 +124,13 @@
     if (routingTableStale) {
       routingTableStale = false;
       upstreams.replace(engines.values().stream().map(EngineRegistry::toPlatformInstance).toList());
+      softwareVersions =
+          engines.values().stream()
+              .collect(
+                  Collectors.groupingBy(
+                      Engine::service,
+                      Collectors.groupingBy(
+                          Engine::softwareVersion, Collectors.summingInt(e -> 1))));
     }
   }
 
--- a/server/src/main/java/org/marigoldmill/server/gateway/Forwarder.java
+++ b/server/src/main/java/org/marigoldmill/server/gateway/Forwarder.java
@@ -196,11 +196,11 @@
       long maxWaitMs = LimitWait.maxMs(request.route(), remainingMs);
       Pick pick =
           picker.pick(
-              request.service(), request.urgency(), name -> !tried.contains(name), maxWaitMs);
+              request.service(), request.urgency(), e -> !tried.contains(e.id()), maxWaitMs);
       if (pick.picked().isEmpty() && !tried.isEmpty()) {
         tried.clear();
         Pause.millis(RETRY_DELAY_MS);
-        pick = picker.pick(request.service(), request.urgency(), name -> true, maxWaitMs);
+        pick = picker.pick(request.service(), request.urgency(), e -> true, maxWaitMs);
       }
       return pick;
     }
--- a/server/src/main/java/org/marigoldmill/server/gateway/Gateway.java
+++ b/server/src/main/java/org/marigoldmill/server/gateway/Gateway.java
@@ -374,7 +374,8 @@
     if (serviceEnd.isPresent()) {
       exchange.setPersistent(false);
     }
-    StreamForwarder.Outcome outcome = streamForwarder.forward(request, exchange);
+    StreamForwarder.Outcome outcome =
+        streamForwarder.forward(request, protocol.resumedStream(exchange), exchange);
     disconnects.unwatch(exchange);
     if (outcome.ran()) {
       request.organisation().ifPresent(usage::countStarted);
--- a/server/src/main/java/org/marigoldmill/server/gateway/StreamForwarder.java
+++ b/server/src/main/java/org/marigoldmill/server/gateway/StreamForwarder.java
@@ -8,6 +8,7 @@
 import java.io.OutputStream;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
 import org.marigoldmill.core.attempt.AttemptTracker;
@@ -68,6 +69,7 @@
   private final UpstreamPicker picker;
   private final UpstreamTable upstreams;
   private final UpstreamSender sender;
+  private final StreamOrigins origins;
   private final CallerProtocol protocol;
   private final Clock clock;
 
@@ -76,31 +78,51 @@
    *
    * @param picker chooses the engine of each attempt
    * @param sender sends the attempts
+   * @param origins tells with which software version streams were begun
    * @param protocol chooses the headers to return to callers
    */
   public StreamForwarder(
       UpstreamPicker picker,
       UpstreamTable upstreams,
       UpstreamSender sender,
+      StreamOrigins origins,
       CallerProtocol protocol,
       Clock clock) {
     this.picker = picker;
     this.upstreams = upstreams;
     this.sender = sender;
+    this.origins = origins;
     this.protocol = protocol;
     this.clock = clock;
   }
 
-  /** Forwards a request and writes the response, if it begins, to the exchange. */
-  public Outcome forward(Forwarder.Request request, HttpServerExchange exchange) {
+  /**
+   * Forwards a request and writes the response, if it begins, to the exchange.
+   *
+   * @param resumed the stream that the caller takes up, if the request does not begin one
+   */
+  public Outcome forward(
+      Forwarder.Request request,
+      Optional<CallerProtocol.ResumedStream> resumed,
+      HttpServerExchange exchange) {
+    Optional<StreamOrigins.Begin> begin =
+        resumed.map(r -> origins.begin(request.service(), r.firstRequest()));
+    if (begin.filter(b -> b.origin() == StreamOrigins.Origin.UNKNOWN).isPresent()) {
+      logger.atInfo().log("stream origin unknown id=%s resumed=%s", request.id(), resumed);
+      return new Outcome(
+          false, false, false, ErrorKind.KNOWLEDGE_STALE, "", Forwarder.RETRY_AFTER_MS);
+    }
     exchange.startBlocking();
-    return new AttemptLoop(request, exchange).run();
+    return new AttemptLoop(request, begin.flatMap(StreamOrigins.Begin::softwareVersion), exchange)
+        .run();
   }
 
   /** The attempts of one stream. */
   private final class AttemptLoop {
     private final Forwarder.Request request;
     private final HttpServerExchange exchange;
+    private Optional<String> softwareVersion;
+    private boolean onlyUnrecorded;
     private final Set<String> tried = new HashSet<>();
     private OptionalLong lastEvent = OptionalLong.empty();
     private final AttemptTracker record;
@@ -109,8 +131,15 @@
     private boolean begun;
     private boolean whole;
 
-    private AttemptLoop(Forwarder.Request request, HttpServerExchange exchange) {
+    /**
+     * Creates the loop.
+     *
+     * @param softwareVersion version of the engines that may continue the stream; empty to begin it
+     */
+    private AttemptLoop(
+        Forwarder.Request request, Optional<String> softwareVersion, HttpServerExchange exchange) {
       this.request = request;
+      this.softwareVersion = softwareVersion;
       this.exchange = exchange;
       this.record = new AttemptTracker(request.route().retryable(), request.route().maxAttempts());
     }
@@ -167,10 +196,21 @@
       long maxWaitMs = LimitWait.maxMs(request.route(), remainingMs);
       Pick pick =
           picker.pick(
-              request.service(), request.urgency(), name -> !tried.contains(name), maxWaitMs);
+              request.service(),
+              request.urgency(),
+              e -> !tried.contains(e.id()) && mayRun(e),
+              maxWaitMs);
       return pick.picked().isPresent() || tried.isEmpty()
           ? pick
-          : picker.pick(request.service(), request.urgency(), name -> true, maxWaitMs);
+          : picker.pick(request.service(), request.urgency(), this::mayRun, maxWaitMs);
+    }
+
+    /** Returns whether an engine may begin the stream, or continue it where it was left. */
+    private boolean mayRun(Engine candidate) {
+      String version = candidate.softwareVersion();
+      return softwareVersion.isPresent()
+          ? softwareVersion.get().equals(version)
+          : !onlyUnrecorded || origins.mayBeginUnrecorded(request.service(), version);
     }
 
     private void recordNoEngine(Pick pick) {
@@ -204,6 +244,7 @@
           return;
         }
         record.recordStarted();
+        recordBegin(target);
         startResponse(stream);
         relay(stream);
         whole = true;
@@ -211,6 +252,22 @@
       }
     }
 
+    /** Binds the stream to the software version of the engine that begins it. */
+    private void recordBegin(Engine target) {
+      if (softwareVersion.isPresent()) {
+        return;
+      }
+      if (!origins.recordBegin(request.service(), request.id(), target.softwareVersion())) {
+        onlyUnrecorded = true;
+        throw new HttpCallException(
+            HttpCallException.Execution.MAYBE_RUN,
+            HttpCallException.Reason.CUT,
+            "software version of the stream not stored: " + target.softwareVersion(),
+            null);
+      }
+      softwareVersion = Optional.of(target.softwareVersion());
+    }
+
     /** Sets the status and the headers of the response from the first engine that answers. */
     private void startResponse(HttpStream stream) {
       if (begun) {
@@ -277,8 +334,8 @@
     /** Returns whether another attempt may start or resume the stream. */
     private boolean recordBreak(HttpCallException failure) {
       logger.atInfo().log(
-          "stream broken id=%s engine=%s reason=%s last_event=%s",
-          request.id(), engine, failure.reason(), lastEvent);
+          "stream broken id=%s engine=%s software=%s reason=%s last_event=%s",
+          request.id(), engine, softwareVersion.orElse("none"), failure.reason(), lastEvent);
       if (failure.execution() == HttpCallException.Execution.NOT_SENT) {
         record.recordNotRun();
       } else {
--- a/server/src/main/java/org/marigoldmill/server/gateway/UpstreamPicker.java
+++ b/server/src/main/java/org/marigoldmill/server/gateway/UpstreamPicker.java
@@ -71,14 +71,14 @@
    * Picks an upstream of a service.
    *
    * @param service service that runs the request
-   * @param eligible whether the upstream of a given name may be picked
+   * @param eligible whether an upstream may be picked
    * @param maxWaitMs longest time for which the request may wait for its turn, in milliseconds
    */
-  Pick pick(String service, Urgency urgency, Predicate<String> eligible, long maxWaitMs) {
+  Pick pick(String service, Urgency urgency, Predicate<Engine> eligible, long maxWaitMs) {
     Set<String> denied = new HashSet<>();
     while (denied.size() < MAX_LIMITS_ASKED) {
       Optional<PickedUpstream> next =
-          acquire(service, n -> eligible.test(n) && !denied.contains(n));
+          acquire(service, e -> eligible.test(e) && !denied.contains(e.id()));
       if (next.isEmpty()) {
         break;
       }
@@ -105,7 +105,7 @@
     }
     if (turnInMs <= maxWaitMs) {
       String name = soonest.orElseThrow();
-      Optional<PickedUpstream> upstream = acquire(service, name::equals);
+      Optional<PickedUpstream> upstream = acquire(service, e -> e.id().equals(name));
       if (upstream.isPresent()) {
         limits.acquireAhead(name, urgency, clock.now());
         PickedUpstream now = upstream.get();
@@ -117,9 +117,14 @@
     return new Pick(Optional.empty(), !denied.isEmpty(), known);
   }
 
-  private Optional<PickedUpstream> acquire(String service, Predicate<String> eligible) {
+  private Optional<PickedUpstream> acquire(String service, Predicate<Engine> eligible) {
     Optional<PlatformInstance> instance =
-        upstreams.acquire(service, zone, NO_LIMIT, i -> eligible.test(i.getName()), clock.now());
+        upstreams.acquire(
+            service,
+            zone,
+            NO_LIMIT,
+            i -> registry.engine(i.getName()).filter(eligible).isPresent(),
+            clock.now());
     return instance.flatMap(this::resolve);
   }
 
