Items stay owed when upstreams crash under their reward calls

What callers saw: on a system like ours, an item under which servers had crashed was never placed again. Here: an item whose reward call was open when two upstreams crashed is never scored, so its group never completes. Cause: reward calls go through the forwarding of callers' requests, which asks whether a request is quarantined for crashing upstreams; two crashes in different places quarantine it for ten minutes. Items themselves ask nothing of the kind. Class: a protection against hostile callers applied to work that the system owes. Change: only callers' requests are recorded as suspects and asked for. Test: DeploymentIT, an item whose reward call crashes two upstreams is completed by a third; red before (not listed after 40 s).

--- a/cli/src/test/java/org/marigoldmill/cli/deployment/DeploymentIT.java
+++ b/cli/src/test/java/org/marigoldmill/cli/deployment/DeploymentIT.java
@@ -30,6 +30,9 @@
   /** Time in which an instance notifies the other of a crash. */
   private static final long CRASH_NOTICE_MS = 50;
 
+  /** Time in which an instance finds out that an upstream has crashed. */
+  private static final long CRASH_DETECTION_MS = 500;
+
   /** Time in which a configuration takes effect at instances that reach the store. */
   private static final long CONFIG_APPLY_MS = 2_000;
 
@@ -166,6 +169,34 @@
           .count();
     }
 
+    @Test
+    void should_still_complete_an_item_when_upstreams_have_crashed_under_its_reward_call() {
+      // GIVEN
+      ObjectNode submission = DeploymentCluster.submission("unlucky");
+      ArrayNode items = (ArrayNode) submission.get("items");
+      while (items.size() > 1) {
+        items.remove(1);
+      }
+      ((ObjectNode) items.get(0).get("scorer")).put("path", "/crash/poison");
+      List<EngineStandin> engines = new ArrayList<>();
+      for (int i = 0; i < 2; i++) {
+        engines.add(new EngineStandin("c-" + i, "", 0, 0));
+        cluster.store.put("servers", "c-" + i, engines.get(i).entry("crash"));
+      }
+      assertThat(cluster.post(0, "/batch/s12", "s12", submission).status()).isEqualTo(202);
+      DeploymentCluster.await(() -> engines.stream().allMatch(e -> !e.startedRequests().isEmpty()));
+      ProcessCluster.pause(CRASH_DETECTION_MS);
+      // WHEN
+      EngineStandin sound = new EngineStandin("c-2", "", 0, 0);
+      sound.bearsPoison();
+      cluster.store.put("servers", "c-2", sound.entry("crash"));
+      // THEN
+      DeploymentCluster.await(() -> cluster.results(1, "s12", 0).get("next").asInt() == 1);
+      assertThat(cluster.results(1, "s12", 0).get("results").get(0).get("state").asText())
+          .isEqualTo("completed");
+      sound.close();
+    }
+
     @Test
     void should_know_only_submissions_of_the_callers_organisation() {
       assertThat(cluster.post(0, "/batch/s4", "s4", DeploymentCluster.submission()).status())
--- a/cli/src/test/java/org/marigoldmill/cli/deployment/EngineStandin.java
+++ b/cli/src/test/java/org/marigoldmill/cli/deployment/EngineStandin.java
@@ -48,6 +48,8 @@
   private final AtomicBoolean closed = new AtomicBoolean();
   private volatile String requestLimit = "";
   private volatile String softwareVersion = "v1";
+  private volatile boolean bearsPoison;
+  private volatile boolean leaving;
   private final HttpServer server;
 
   public EngineStandin(String id, String model, int events, long eventMs) {
@@ -101,6 +103,16 @@
     return entry;
   }
 
+  /** Makes the engine answer requests that crash others. */
+  void bearsPoison() {
+    bearsPoison = true;
+  }
+
+  /** Makes each answer say from now on that the engine leaves. */
+  void leave() {
+    leaving = true;
+  }
+
   /** Sets the software version of entries from now on. */
   void softwareVersion(String version) {
     softwareVersion = version;
@@ -147,6 +159,9 @@
       startedRequests.add(request);
       setHeader(exchange, "X-Attempt-Id", request);
       setHeader(exchange, "X-Server-Seal", score(request));
+      if (leaving) {
+        setHeader(exchange, "Server-Leaving", "1");
+      }
       if (!requestLimit.isEmpty()) {
         setHeader(exchange, "Server-Limit", requestLimit);
       }
@@ -155,7 +170,7 @@
   }
 
   private void run(HttpServerExchange exchange, String path, String request) throws IOException {
-    if (path.endsWith("/poison")) {
+    if (path.endsWith("/poison") && !bearsPoison) {
       crash(exchange);
       return;
     }
--- a/server/src/main/java/org/marigoldmill/server/gateway/Forwarder.java
+++ b/server/src/main/java/org/marigoldmill/server/gateway/Forwarder.java
@@ -162,6 +162,11 @@
           retryAfterMs);
     }
 
+    /** Work of a submission is owed, whatever upstreams crashed while they ran it. */
+    private boolean mayBeQuarantined() {
+      return request.urgency() == Urgency.CALL;
+    }
+
     /** Makes one attempt; returns whether the request was sent. */
     private boolean attemptNext() {
       long remainingMs = request.deadlineMs() - clock.now();
@@ -173,7 +178,7 @@
         record.recordCancelled();
         return false;
       }
-      if (crashDetector.isQuarantined(request)) {
+      if (mayBeQuarantined() && crashDetector.isQuarantined(request)) {
         logger.atInfo().log("request quarantined id=%s", request.id());
         record.recordCancelled();
         return false;
@@ -231,7 +236,9 @@
         evaluate(instance, received);
       } catch (HttpCallException e) {
         upstreams.recordFailure(instance, clock.now());
-        crashDetector.recordLostAttempt(request, target, e);
+        if (mayBeQuarantined()) {
+          crashDetector.recordLostAttempt(request, target, e);
+        }
         recordLost(e);
       } catch (RuntimeException e) {
         upstreams.release(instance);
@@ -256,7 +263,9 @@
             request.id(), instance.getName(), received.status(), record.refusals());
         return;
       }
-      crashDetector.recordAnswer(request);
+      if (mayBeQuarantined()) {
+        crashDetector.recordAnswer(request);
+      }
       boolean proven = protocol.proof(received.headers()).isPresent();
       boolean final4xx = received.status() >= 400 && received.status() < 500;
       if ((received.successful() && proven) || final4xx) {
