Answers without end are left at a bound in bytes

What callers saw: nothing yet; an engine that sends a head, a body or an event without end filled the heap of an instance (150 MB) within seconds, and all requests there failed. Cause: no bound on what is held of an answer: the client's parser takes heads of any size, and bodies and events were collected until a timeout. Change: a head must be complete within 1 MB (looked at every 25 ms while it is awaited), a body that is held has at most 4 MB, an event 1 MB, the text of an item 4 M characters. What exceeds it counts as a lost attempt that may have run. Streams are passed on without being held. Test: EndlessAnswerIT, twelve such answers at once against the real binary with the heap of a deployed instance: 4 of 5 kinds red before (OutOfMemoryError), green now; many headers without end were no harm before either, as Undertow counts them.

--- a/core/src/main/java/org/marigoldmill/core/submission/EventReader.java
+++ b/core/src/main/java/org/marigoldmill/core/submission/EventReader.java
@@ -38,11 +38,16 @@
    * @param bytes buffer that holds the bytes, from index 0
    * @param length number of bytes to read from the buffer
    * @return the events completed by these bytes, in stream order
-   * @throws IllegalArgumentException if an event id or a version is not a decimal number
+   * @throws IllegalArgumentException if an event id or a version is not a decimal number, or an
+   *     event is larger than accepted
    */
   public List<GeneratedEvent> read(byte[] bytes, int length) {
     List<GeneratedEvent> events = new ArrayList<>();
     for (int i = 0; i < length; i++) {
+      if (line.size() + data.length() >= EventSplitter.MAX_EVENT_BYTES) {
+        throw new IllegalArgumentException(
+            "event: expected at most " + EventSplitter.MAX_EVENT_BYTES + " bytes but got more");
+      }
       if (bytes[i] == '\n') {
         parseLine(events);
       } else {
--- a/core/src/main/java/org/marigoldmill/core/submission/EventSplitter.java
+++ b/core/src/main/java/org/marigoldmill/core/submission/EventSplitter.java
@@ -9,6 +9,9 @@
 
 /** Splits the bytes of an event stream into complete events, byte for byte as received. */
 public final class EventSplitter {
+  /** Largest event that is held in memory. */
+  static final int MAX_EVENT_BYTES = 1024 * 1024;
+
   private final ByteArrayOutputStream event = new ByteArrayOutputStream();
   private int lineBytes;
 
@@ -30,10 +33,15 @@
    * @param bytes buffer that holds the bytes, from index 0
    * @param length number of bytes to read from the buffer
    * @return the events completed by these bytes, in stream order
+   * @throws IllegalArgumentException if an event is larger than accepted
    */
   public List<RawEvent> read(byte[] bytes, int length) {
     List<RawEvent> events = new ArrayList<>();
     for (int i = 0; i < length; i++) {
+      if (event.size() >= MAX_EVENT_BYTES) {
+        throw new IllegalArgumentException(
+            "event: expected at most " + MAX_EVENT_BYTES + " bytes but got more");
+      }
       event.write(bytes[i]);
       if (bytes[i] != '\n') {
         lineBytes += bytes[i] == '\r' ? 0 : 1;
--- a/core/src/main/java/org/marigoldmill/core/submission/GeneratedText.java
+++ b/core/src/main/java/org/marigoldmill/core/submission/GeneratedText.java
@@ -7,6 +7,9 @@
 
 /** The text generated for an item so far, across all of its runs. */
 public final class GeneratedText {
+  /** Largest text that is held in memory, in characters. */
+  private static final int MAX_CHARACTERS = 4 * 1024 * 1024;
+
   private final StringBuilder text = new StringBuilder();
   private final TreeSet<Long> versions = new TreeSet<>();
   private OptionalLong lastEventId = OptionalLong.empty();
@@ -36,13 +39,18 @@
   /**
    * Appends an event.
    *
-   * @throws IllegalArgumentException if its id does not directly follow the last event's
+   * @throws IllegalArgumentException if its id does not directly follow the last event's, or the
+   *     text would be larger than accepted
    */
   public void append(GeneratedEvent event) {
     if (lastEventId.isPresent() && event.id() != lastEventId.getAsLong() + 1) {
       throw new IllegalArgumentException(
           "event id: expected " + (lastEventId.getAsLong() + 1) + " but was " + event.id());
     }
+    if (text.length() + event.data().length() > MAX_CHARACTERS) {
+      throw new IllegalArgumentException(
+          "text: expected at most " + MAX_CHARACTERS + " characters but got more");
+    }
     if (lastEventId.isPresent()) {
       text.append('\n');
     }
--- a/http/src/main/java/org/marigoldmill/http/HttpCallException.java
+++ b/http/src/main/java/org/marigoldmill/http/HttpCallException.java
@@ -19,6 +19,8 @@
     GATE,
     /** The connection was closed, by either side, before the response was complete. */
     CUT,
+    /** The response is larger than this process accepts. */
+    OVERSIZED,
     /** No byte arrived within the progress timeout or the total timeout, or bytes without use. */
     SILENT
   }
@@ -39,6 +41,20 @@
         Execution.MAYBE_RUN, Reason.SILENT, "stream without a complete event from " + sender, null);
   }
 
+  /**
+   * Creates the exception of a response that is larger than accepted.
+   *
+   * @param what part that is too large
+   * @param maxBytes largest size accepted, in bytes
+   */
+  public static HttpCallException oversized(String what, long maxBytes, String sender) {
+    return new HttpCallException(
+        Execution.MAYBE_RUN,
+        Reason.OVERSIZED,
+        what + " from " + sender + " exceeds " + maxBytes + " bytes",
+        null);
+  }
+
   /** Returns whether the receiver may have executed the request. */
   public Execution execution() {
     return execution;
--- a/http/src/main/java/org/marigoldmill/http/HttpClient.java
+++ b/http/src/main/java/org/marigoldmill/http/HttpClient.java
@@ -48,6 +48,19 @@
   private static final int MAX_IDLE_PER_ADDRESS = 64;
   private static final int BUFFER_SIZE_BYTES = 16 * 1024;
 
+  /** Bytes of a response after which its head must be complete. */
+  private static final long MAX_HEAD_BYTES = 1024 * 1024;
+
+  /** Interval at which the bytes of an incomplete head are checked, in milliseconds. */
+  private static final long HEAD_CHECK_INTERVAL_MS = 25;
+
+  /** Largest response body that is held in memory. */
+  private static final int MAX_BODY_BYTES = 4 * 1024 * 1024;
+
+  private static final OptionMap CONNECT_OPTIONS =
+      OptionMap.create(
+          UndertowOptions.ENABLE_HTTP2, false, UndertowOptions.ENABLE_STATISTICS, true);
+
   /**
    * A connection of the pool, with times of {@link #nowMs}.
    *
@@ -95,13 +108,26 @@
    */
   public HttpResponse exchange(HttpCall call) {
     try (HttpStream stream = open(call)) {
-      ByteArrayOutputStream body = new ByteArrayOutputStream();
-      byte[] chunk = new byte[BUFFER_SIZE_BYTES];
-      for (int n = stream.read(chunk); n >= 0; n = stream.read(chunk)) {
-        body.write(chunk, 0, n);
+      return readAll(stream, call.address().toString());
+    }
+  }
+
+  /**
+   * Reads the rest of a response.
+   *
+   * @param sender name of the sender in error messages
+   * @throws HttpCallException if the body does not end, or is too large to be held
+   */
+  public static HttpResponse readAll(HttpStream stream, String sender) {
+    ByteArrayOutputStream body = new ByteArrayOutputStream();
+    byte[] chunk = new byte[BUFFER_SIZE_BYTES];
+    for (int n = stream.read(chunk); n >= 0; n = stream.read(chunk)) {
+      if (body.size() + n > MAX_BODY_BYTES) {
+        throw HttpCallException.oversized("body", MAX_BODY_BYTES, sender);
       }
-      return new HttpResponse(stream.status(), stream.headers(), body.toByteArray());
+      body.write(chunk, 0, n);
     }
+    return new HttpResponse(stream.status(), stream.headers(), body.toByteArray());
   }
 
   /**
@@ -119,7 +145,7 @@
     connection.getIoThread().execute(() -> send(connection, call, head));
     long headTimeoutMs = Math.min(call.progressTimeoutMs(), deadlineMs - nowMs());
     try {
-      ClientExchange exchange = head.get(Math.max(1, headTimeoutMs), TimeUnit.MILLISECONDS);
+      ClientExchange exchange = awaitHead(call, connection, head, Math.max(1, headTimeoutMs));
       return new HttpStream(this, call, pooled, exchange, deadlineMs);
     } catch (TimeoutException e) {
       closeUnresponsive(call.address(), connection);
@@ -141,6 +167,32 @@
     }
   }
 
+  /** Waits for the head of a response; the parser itself accepts heads of any size. */
+  private static ClientExchange awaitHead(
+      HttpCall call,
+      ClientConnection connection,
+      CompletableFuture<ClientExchange> head,
+      long timeoutMs)
+      throws InterruptedException, ExecutionException, TimeoutException {
+    long untilMs = nowMs() + timeoutMs;
+    long bytesBefore = connection.getStatistics().getRead();
+    while (true) {
+      long leftMs = untilMs - nowMs();
+      try {
+        return head.get(
+            Math.max(1, Math.min(leftMs, HEAD_CHECK_INTERVAL_MS)), TimeUnit.MILLISECONDS);
+      } catch (TimeoutException e) {
+        if (connection.getStatistics().getRead() - bytesBefore > MAX_HEAD_BYTES) {
+          IoUtils.safeClose(connection);
+          throw HttpCallException.oversized("head", MAX_HEAD_BYTES, call.address().toString());
+        }
+        if (leftMs <= HEAD_CHECK_INTERVAL_MS) {
+          throw e;
+        }
+      }
+    }
+  }
+
   /** Returns whether a new connection to an address can be established. */
   public boolean canConnect(String address) {
     HttpCall probe = HttpCall.get(address, "/").onFreshConnection();
@@ -224,8 +276,7 @@
         URI.create(
             "http://" + call.address().getHostString() + ":" + call.address().getPort() + "/");
     IoFuture<ClientConnection> future =
-        UndertowClient.getInstance()
-            .connect(uri, worker, buffers, OptionMap.create(UndertowOptions.ENABLE_HTTP2, false));
+        UndertowClient.getInstance().connect(uri, worker, buffers, CONNECT_OPTIONS);
     IoFuture.Status status = future.await(call.connectTimeoutMs(), TimeUnit.MILLISECONDS);
     if (status != IoFuture.Status.DONE) {
       future.addNotifier(new CloseLateConnection(), null);
--- a/server/src/main/java/org/marigoldmill/server/gateway/StreamForwarder.java
+++ b/server/src/main/java/org/marigoldmill/server/gateway/StreamForwarder.java
@@ -289,7 +289,7 @@
       byte[] chunk = new byte[CHUNK_BYTES];
       OutputStream out = exchange.getOutputStream();
       for (int n = stream.read(chunk); n >= 0; n = stream.read(chunk)) {
-        List<EventSplitter.RawEvent> events = splitter.read(chunk, n);
+        List<EventSplitter.RawEvent> events = readEvents(splitter, chunk, n);
         for (EventSplitter.RawEvent event : events) {
           relayEvent(event, out);
         }
@@ -310,6 +310,19 @@
       out.close();
     }
 
+    private List<EventSplitter.RawEvent> readEvents(
+        EventSplitter splitter, byte[] chunk, int length) {
+      try {
+        return splitter.read(chunk, length);
+      } catch (IllegalArgumentException e) {
+        throw new HttpCallException(
+            HttpCallException.Execution.MAYBE_RUN,
+            HttpCallException.Reason.OVERSIZED,
+            e.getMessage() + " from " + engine,
+            e);
+      }
+    }
+
     /** Skips an event that was relayed before; a missing event fails the attempt. */
     private void relayEvent(EventSplitter.RawEvent event, OutputStream out) throws IOException {
       if (event.id().isEmpty() || lastEvent.isEmpty()) {
--- a/server/src/main/java/org/marigoldmill/server/gateway/UpstreamSender.java
+++ b/server/src/main/java/org/marigoldmill/server/gateway/UpstreamSender.java
@@ -1,6 +1,5 @@
 package org.marigoldmill.server.gateway;
 
-import java.io.ByteArrayOutputStream;
 import java.util.List;
 import org.marigoldmill.http.HttpCall;
 import org.marigoldmill.http.HttpCallException;
@@ -14,8 +13,6 @@
   /** Timeout for opening a connection to an upstream, in milliseconds. */
   public static final long CONNECT_TIMEOUT_MS = 300;
 
-  private static final int CHUNK_BYTES = 16 * 1024;
-
   private final HttpClient client;
   private final UpstreamProtocol protocol;
   private final AnswerObserver answers;
@@ -64,12 +61,7 @@
    */
   public HttpResponse exchange(HttpCall call, UpstreamProtocol.Attempt attempt) {
     try (HttpStream stream = open(call, attempt)) {
-      ByteArrayOutputStream body = new ByteArrayOutputStream();
-      byte[] chunk = new byte[CHUNK_BYTES];
-      for (int n = stream.read(chunk); n >= 0; n = stream.read(chunk)) {
-        body.write(chunk, 0, n);
-      }
-      return new HttpResponse(stream.status(), stream.headers(), body.toByteArray());
+      return HttpClient.readAll(stream, attempt.engineId());
     }
   }
 }
