An engine that says in an answer that it leaves gets nothing new

Cause: only the registry in the store told an instance that an engine leaves; what the engine says itself was not read. Change: LeavingEngines (core) holds which incarnation has said so; the registry treats it as draining, so that every place that sends obeys: calls, retries, resumed streams, items, reward calls. It ends with the incarnation, not with an entry that says ready.

--- a/core/src/main/java/org/marigoldmill/core/placement/Engine.java
+++ b/core/src/main/java/org/marigoldmill/core/placement/Engine.java
@@ -28,6 +28,23 @@
     boolean reclaimable,
     Map<String, Long> versions) {
 
+  /** Returns this engine as one that accepts no new requests. */
+  public Engine asDraining() {
+    return draining
+        ? this
+        : new Engine(
+            id,
+            incarnation,
+            service,
+            softwareVersion,
+            address,
+            zone,
+            slots,
+            true,
+            reclaimable,
+            versions);
+  }
+
   /** Returns the version of a model's weights, or 0 if it does not serve the model. */
   public long version(String model) {
     return versions.getOrDefault(model, 0L);
--- a/server/src/main/java/org/marigoldmill/server/deployment/EngineRegistry.java
+++ b/server/src/main/java/org/marigoldmill/server/deployment/EngineRegistry.java
@@ -9,6 +9,7 @@
 import java.util.function.Consumer;
 import java.util.stream.Collectors;
 import org.marigoldmill.core.placement.Engine;
+import org.marigoldmill.core.placement.LeavingEngines;
 import org.marigoldmill.core.routing.UpstreamTable;
 import org.marigoldmill.core.weights.EngineVersions;
 import org.marigoldmill.schema.platform.InstanceState;
@@ -26,6 +27,7 @@
   private final Map<String, Engine> engines = new ConcurrentHashMap<>();
   private final List<Consumer<String>> removalListeners = new CopyOnWriteArrayList<>();
   private volatile Map<String, Map<String, Integer>> softwareVersions = Map.of();
+  private final LeavingEngines leaving = new LeavingEngines();
   private boolean routingTableStale;
 
   /** Creates an empty registry that updates a routing table and the versions of weights. */
@@ -60,13 +62,30 @@
     return enginesOf(service).stream().filter(e -> !e.draining()).toList();
   }
 
+  /**
+   * Records that an upstream has said in an answer that it leaves; it gets no new work from now on.
+   */
+  public synchronized void recordLeaving(String id, long incarnation) {
+    Engine engine = engines.get(id);
+    if (engine == null || engine.incarnation() != incarnation || !leaving.record(id, incarnation)) {
+      return;
+    }
+    logger.atInfo().log(
+        "engine leaving id=%s incarnation=%d source=answer listed_draining=%s",
+        id, incarnation, engine.draining());
+    if (!engine.draining()) {
+      engines.put(id, engine.asDraining());
+      updateRoutingTable();
+    }
+  }
+
   /** Returns the number of upstreams that serve models. */
   public int modelEngineCount() {
     return (int) engines.values().stream().filter(e -> !e.versions().isEmpty()).count();
   }
 
   @Override
-  public void reset() {
+  public synchronized void reset() {
     engines.keySet().forEach(versions::remove);
     engines.clear();
     routingTableStale = true;
@@ -74,7 +93,7 @@
 
   /** Keeps a known engine if the record loaded is of an earlier incarnation. */
   @Override
-  public void load(Runnable replay) {
+  public synchronized void load(Runnable replay) {
     Map<String, Engine> before = Map.copyOf(engines);
     PartitionFollower.Sink.super.load(replay);
     engines.replaceAll((id, engine) -> laterIncarnation(before.get(id), engine));
@@ -86,14 +105,14 @@
   }
 
   @Override
-  public void apply(StoredRecord stored) {
+  public synchronized void apply(StoredRecord stored) {
     Optional<Engine> decoded = stored.value().flatMap(v -> codec.decodeEngine(stored.key(), v));
     Engine before = engines.get(stored.key());
     if (decoded.isEmpty()) {
       removeIfDeleted(stored, before);
       return;
     }
-    Engine engine = decoded.get();
+    Engine engine = leaving.apply(decoded.get());
     if (before != null && before.incarnation() > engine.incarnation()) {
       return;
     }
@@ -120,20 +139,23 @@
   }
 
   @Override
-  public void advanceTo(long offset) {
+  public synchronized void advanceTo(long offset) {
     if (routingTableStale) {
-      routingTableStale = false;
-      upstreams.replace(engines.values().stream().map(EngineRegistry::toPlatformInstance).toList());
-      softwareVersions =
-          engines.values().stream()
-              .collect(
-                  Collectors.groupingBy(
-                      Engine::service,
-                      Collectors.groupingBy(
-                          Engine::softwareVersion, Collectors.summingInt(e -> 1))));
+      updateRoutingTable();
     }
   }
 
+  private void updateRoutingTable() {
+    routingTableStale = false;
+    upstreams.replace(engines.values().stream().map(EngineRegistry::toPlatformInstance).toList());
+    softwareVersions =
+        engines.values().stream()
+            .collect(
+                Collectors.groupingBy(
+                    Engine::service,
+                    Collectors.groupingBy(Engine::softwareVersion, Collectors.summingInt(e -> 1))));
+  }
+
   /** Removes an engine if its record was deleted; an undecodable record may be another writer's. */
   private void removeIfDeleted(StoredRecord stored, Engine before) {
     if (stored.value().isPresent()) {
@@ -151,6 +173,7 @@
   }
 
   private void notifyRemoved(String id) {
+    leaving.remove(id);
     removalListeners.forEach(l -> l.accept(id));
   }
 
--- a/server/src/main/java/org/marigoldmill/server/deployment/UpstreamProtocol.java
+++ b/server/src/main/java/org/marigoldmill/server/deployment/UpstreamProtocol.java
@@ -97,6 +97,9 @@
    */
   OptionalDouble requestLimit(List<HttpCall.Header> headers);
 
+  /** Returns whether the upstream says in this response that it leaves. */
+  boolean leaving(List<HttpCall.Header> headers);
+
   /** Builds the call that requests an engine's report. */
   HttpCall report(String address);
 
--- a/server/src/main/java/org/marigoldmill/server/gateway/AnswerObserver.java
+++ b/server/src/main/java/org/marigoldmill/server/gateway/AnswerObserver.java
@@ -51,6 +51,9 @@
     protocol
         .upstreamLoad(headers)
         .ifPresent(l -> upstreams.recordReportedLoad(engine, l.running() + l.waiting(), now));
+    if (protocol.leaving(headers)) {
+      registry.recordLeaving(engine, incarnation);
+    }
     limits
         .recordAnswer(engine, incarnation, protocol.requestLimit(headers), now)
         .ifPresent(c -> logChange(engine, incarnation, c));
--- a/server/src/test/java/org/marigoldmill/server/deployment/EngineRegistryTest.java
+++ b/server/src/test/java/org/marigoldmill/server/deployment/EngineRegistryTest.java
@@ -22,6 +22,49 @@
     registry.advanceTo(0);
   }
 
+  @Nested
+  class RecordLeaving {
+    @Test
+    void should_give_no_new_work_whatever_the_entry_of_that_incarnation_says() {
+      // GIVEN
+      applyRecord("e", "1 ready");
+      // WHEN
+      registry.recordLeaving("e", 1);
+      // THEN
+      assertThat(upstreams.usable("s")).isEmpty();
+      applyRecord("e", "1 ready");
+      assertThat(upstreams.usable("s")).isEmpty();
+      assertThat(registry.availableEnginesOf("s")).isEmpty();
+    }
+
+    @Test
+    void should_not_bind_an_engine_that_starts_again_under_its_id() {
+      applyRecord("e", "1 ready");
+      registry.recordLeaving("e", 1);
+      applyRecord("e", "2 ready");
+      assertThat(upstreams.usable("s")).hasSize(1);
+      registry.recordLeaving("e", 1);
+      assertThat(upstreams.usable("s")).hasSize(1);
+    }
+
+    @Test
+    void should_not_bind_an_engine_that_came_back_after_it_was_gone() {
+      applyRecord("e", "1 ready");
+      registry.recordLeaving("e", 1);
+      applyRecord("e", null);
+      applyRecord("e", "2 ready");
+      assertThat(upstreams.usable("s")).hasSize(1);
+    }
+
+    @Test
+    void should_be_kept_when_the_registry_is_loaded_anew() {
+      applyRecord("e", "1 ready");
+      registry.recordLeaving("e", 1);
+      registry.load(() -> applyRecord("e", "1 ready"));
+      assertThat(upstreams.usable("s")).isEmpty();
+    }
+  }
+
   @Nested
   class Apply {
     @Test
