Heads are checked for size only where answers come from upstreams

What was wrong: the check of a head that is awaited woke every waiting call each 25 ms, also the long polls to the store, eight of them in an instance that does nothing: 320 wake-ups a second. Change: only the clients of upstreams check, after 25 ms and then at most each 100 ms.

--- a/http/src/main/java/org/marigoldmill/http/HttpClient.java
+++ b/http/src/main/java/org/marigoldmill/http/HttpClient.java
@@ -51,8 +51,10 @@
   /** Bytes of a response after which its head must be complete. */
   private static final long MAX_HEAD_BYTES = 1024 * 1024;
 
-  /** Interval at which the bytes of an incomplete head are checked, in milliseconds. */
-  private static final long HEAD_CHECK_INTERVAL_MS = 25;
+  /** First and longest time after which the bytes of an incomplete head are checked. */
+  private static final long MIN_HEAD_CHECK_MS = 25;
+
+  private static final long MAX_HEAD_CHECK_MS = 100;
 
   /** Largest response body that is held in memory. */
   private static final int MAX_BODY_BYTES = 4 * 1024 * 1024;
@@ -70,14 +72,16 @@
   record PooledConnection(ClientConnection connection, long openedAtMs, long reusableUntilMs) {}
 
   private final XnioWorker worker;
+  private final boolean checksHeads;
   private final ByteBufferPool buffers = new DefaultByteBufferPool(true, BUFFER_SIZE_BYTES);
   private final Map<InetSocketAddress, Deque<PooledConnection>> idleConnections =
       new ConcurrentHashMap<>();
 
   private volatile boolean closed;
 
-  private HttpClient(XnioWorker worker) {
+  private HttpClient(XnioWorker worker, boolean checksHeads) {
     this.worker = worker;
+    this.checksHeads = checksHeads;
   }
 
   /**
@@ -86,6 +90,19 @@
    * @param name name of the threads
    */
   public static HttpClient create(String name, int ioThreads) {
+    return create(name, ioThreads, false);
+  }
+
+  /**
+   * Creates a client of receivers whose responses may have heads without end.
+   *
+   * @param name name of the threads
+   */
+  public static HttpClient checkingHeads(String name, int ioThreads) {
+    return create(name, ioThreads, true);
+  }
+
+  private static HttpClient create(String name, int ioThreads, boolean checksHeads) {
     try {
       OptionMap options =
           OptionMap.builder()
@@ -95,7 +112,7 @@
               .set(Options.WORKER_TASK_MAX_THREADS, 2)
               .set(Options.THREAD_DAEMON, true)
               .getMap();
-      return new HttpClient(Xnio.getInstance().createWorker(options));
+      return new HttpClient(Xnio.getInstance().createWorker(options), checksHeads);
     } catch (IOException e) {
       throw new IllegalStateException("cannot start the HTTP client", e);
     }
@@ -145,7 +162,10 @@
     connection.getIoThread().execute(() -> send(connection, call, head));
     long headTimeoutMs = Math.min(call.progressTimeoutMs(), deadlineMs - nowMs());
     try {
-      ClientExchange exchange = awaitHead(call, connection, head, Math.max(1, headTimeoutMs));
+      ClientExchange exchange =
+          checksHeads
+              ? awaitHead(call, connection, head, headTimeoutMs)
+              : head.get(Math.max(1, headTimeoutMs), TimeUnit.MILLISECONDS);
       return new HttpStream(this, call, pooled, exchange, deadlineMs);
     } catch (TimeoutException e) {
       closeUnresponsive(call.address(), connection);
@@ -176,17 +196,16 @@
       throws InterruptedException, ExecutionException, TimeoutException {
     long untilMs = nowMs() + timeoutMs;
     long bytesBefore = connection.getStatistics().getRead();
-    while (true) {
+    for (long checkMs = MIN_HEAD_CHECK_MS; ; checkMs = Math.min(2 * checkMs, MAX_HEAD_CHECK_MS)) {
       long leftMs = untilMs - nowMs();
       try {
-        return head.get(
-            Math.max(1, Math.min(leftMs, HEAD_CHECK_INTERVAL_MS)), TimeUnit.MILLISECONDS);
+        return head.get(Math.max(1, Math.min(leftMs, checkMs)), TimeUnit.MILLISECONDS);
       } catch (TimeoutException e) {
         if (connection.getStatistics().getRead() - bytesBefore > MAX_HEAD_BYTES) {
           IoUtils.safeClose(connection);
           throw HttpCallException.oversized("head", MAX_HEAD_BYTES, call.address().toString());
         }
-        if (leftMs <= HEAD_CHECK_INTERVAL_MS) {
+        if (leftMs <= checkMs) {
           throw e;
         }
       }
--- a/server/src/main/java/org/marigoldmill/server/DeploymentInstance.java
+++ b/server/src/main/java/org/marigoldmill/server/DeploymentInstance.java
@@ -160,7 +160,7 @@
             System::currentTimeMillis,
             clock);
     this.crashes = new CrashLog(store, settings.getInstance(), suspects, clock);
-    final HttpClient client = register(HttpClient.create("upstreams", 1));
+    final HttpClient client = register(HttpClient.checkingHeads("upstreams", 1));
     this.limits =
         new EngineLimits(
             settings.getInstance(), process, RandomGenerator.getDefault(), clock.now());
