A limit of any height can be reported to the other instances

What was wrong: the reader of a header takes limits up to 999,999,999.9 a second, a report at most a million; an engine that names more would have made every report of its instances fail, also for other engines. Found by reading the change; the test is new, it was not run on the code before.

--- a/core/src/main/java/org/marigoldmill/core/limit/EngineDemand.java
+++ b/core/src/main/java/org/marigoldmill/core/limit/EngineDemand.java
@@ -19,7 +19,8 @@
     double background,
     OptionalDouble limit,
     long limitAgeMs) {
-  private static final double MAX_REQUESTS = 1e6;
+  /** Largest count and limit that is believed. */
+  private static final double MAX_REQUESTS = 1e9;
 
   /**
    * Checks the numbers.
--- a/core/src/test/java/org/marigoldmill/core/limit/EngineLimitsTest.java
+++ b/core/src/test/java/org/marigoldmill/core/limit/EngineLimitsTest.java
@@ -278,6 +278,13 @@
       assertThat(sent).isPositive();
     }
 
+    @Test
+    void should_be_reported_to_the_others_however_high_the_limit_is() {
+      limits.recordAnswer("e", 5, OptionalDouble.of(999_999_999.9), 0);
+      assertThat(limits.tryAcquire("e", Urgency.CALL, 100)).isTrue();
+      assertThat(limits.reportDue(1_000)).isPresent();
+    }
+
     @Test
     void should_not_be_overruled_by_an_older_report() {
       limits.recordAnswer("e", 5, OptionalDouble.empty(), 2_000);
