--- a/http/src/main/java/org/marigoldmill/http/HttpClient.java
+++ b/http/src/main/java/org/marigoldmill/http/HttpClient.java
@@ -85,21 +85,21 @@
   }
 
   /**
-   * Creates a client with its own I/O threads.
+   * Creates a client of receivers whose responses may have heads without end.
    *
    * @param name name of the threads
    */
-  public static HttpClient create(String name, int ioThreads) {
-    return create(name, ioThreads, false);
+  public static HttpClient checkingHeads(String name, int ioThreads) {
+    return create(name, ioThreads, true);
   }
 
   /**
-   * Creates a client of receivers whose responses may have heads without end.
+   * Creates a client with its own I/O threads.
    *
    * @param name name of the threads
    */
-  public static HttpClient checkingHeads(String name, int ioThreads) {
-    return create(name, ioThreads, true);
+  public static HttpClient create(String name, int ioThreads) {
+    return create(name, ioThreads, false);
   }
 
   private static HttpClient create(String name, int ioThreads, boolean checksHeads) {
