A stream that nobody can take up begins whatever the store says

What callers saw: in a service with two software versions, with the store silent, a stream on a route that allows no resumption got 502 from each engine of the version that is not the default: its begin could not be recorded, and it may not run again. Cause: the begin of every stream was recorded; only one that may be resumed needs it. Test: SoftwareVersionsIT, red before (502).

--- a/cli/src/test/java/org/marigoldmill/cli/deployment/DeploymentCluster.java
+++ b/cli/src/test/java/org/marigoldmill/cli/deployment/DeploymentCluster.java
@@ -224,6 +224,7 @@
         .put("max_attempts", 3)
         .put("streaming", true)
         .put("resumable", true);
+    route(routes, "/gen/once/", "mutating", "llm").put("max_attempts", 1).put("streaming", true);
     ArrayNode services = config.putArray("services");
     services.addObject().put("name", "app");
     ObjectNode llm = services.addObject().put("name", "llm");
--- a/cli/src/test/java/org/marigoldmill/cli/deployment/SoftwareVersionsIT.java
+++ b/cli/src/test/java/org/marigoldmill/cli/deployment/SoftwareVersionsIT.java
@@ -152,6 +152,16 @@
       }
     }
 
+    @Test
+    void should_begin_while_the_store_is_silent_when_nobody_can_take_them_up() {
+      // GIVEN
+      cluster.store.unavailable(true);
+      // WHEN, THEN
+      for (int i = 0; i < STREAMS; i++) {
+        assertThat(stream(i % 2, "/gen/once/x", "once-" + i).status()).isEqualTo(200);
+      }
+    }
+
     @Test
     void should_go_on_or_be_refused_but_not_mix_versions_while_the_store_is_silent() {
       // GIVEN
--- a/server/src/main/java/org/marigoldmill/server/gateway/StreamForwarder.java
+++ b/server/src/main/java/org/marigoldmill/server/gateway/StreamForwarder.java
@@ -254,7 +254,7 @@
 
     /** Binds the stream to the software version of the engine that begins it. */
     private void recordBegin(Engine target) {
-      if (softwareVersion.isPresent()) {
+      if (softwareVersion.isPresent() || !request.route().resumable()) {
         return;
       }
       if (!origins.recordBegin(request.service(), request.id(), target.softwareVersion())) {
