A begin that cannot be recorded is no failure of the engine

What callers saw: nothing by itself; an engine whose stream could not begin, because the store did not take its record, was passed over for half a second as if it had failed. Cause: the refusal went through the exception for lost connections. Change: it ends the attempt, which may be made again elsewhere, and says nothing of the engine.

--- a/server/src/main/java/org/marigoldmill/server/gateway/StreamForwarder.java
+++ b/server/src/main/java/org/marigoldmill/server/gateway/StreamForwarder.java
@@ -244,7 +244,10 @@
           return;
         }
         record.recordStarted();
-        recordBegin(target);
+        if (!bindToVersion(target)) {
+          record.recordLost(false);
+          return;
+        }
         startResponse(stream);
         relay(stream);
         whole = true;
@@ -252,20 +255,17 @@
       }
     }
 
-    /** Binds the stream to the software version of the engine that begins it. */
-    private void recordBegin(Engine target) {
+    /** Binds the stream to the software version of the engine that begins it, if it may. */
+    private boolean bindToVersion(Engine target) {
       if (softwareVersion.isPresent() || !request.route().resumable()) {
-        return;
+        return true;
       }
       if (!origins.recordBegin(request.service(), request.id(), target.softwareVersion())) {
         onlyUnrecorded = true;
-        throw new HttpCallException(
-            HttpCallException.Execution.MAYBE_RUN,
-            HttpCallException.Reason.CUT,
-            "software version of the stream not stored: " + target.softwareVersion(),
-            null);
+        return false;
       }
       softwareVersion = Optional.of(target.softwareVersion());
+      return true;
     }
 
     /** Sets the status and the headers of the response from the first engine that answers. */
