--- a/cli/src/test/java/org/marigoldmill/cli/deployment/SoftwareVersionsIT.java
+++ b/cli/src/test/java/org/marigoldmill/cli/deployment/SoftwareVersionsIT.java
@@ -68,7 +68,7 @@
     }
 
     @Test
-    void should_begin_anew_when_no_engine_of_their_version_is_left() {
+    void should_restart_when_no_engine_of_their_version_is_left() {
       // GIVEN
       cluster.store.put("servers", "e-2", null);
       DeploymentCluster.await(() -> logged("engine gone id=e-2"));
@@ -153,7 +153,7 @@
     }
 
     @Test
-    void should_begin_while_the_store_is_silent_when_nobody_can_take_them_up() {
+    void should_start_while_the_store_is_silent_when_nobody_can_resume_them() {
       // GIVEN
       cluster.store.unavailable(true);
       // WHEN, THEN
--- a/core/src/main/java/org/marigoldmill/core/continuation/Continuation.java
+++ b/core/src/main/java/org/marigoldmill/core/continuation/Continuation.java
@@ -5,12 +5,12 @@
 import org.marigoldmill.core.placement.Engine;
 
 /**
- * Decides which engines may go on with the text of an item.
+ * Decides which engines may continue the text of an item.
  *
  * <p>Answers the load of a service whose engines run several versions of their software, while some
  * crash, leave or are too slow in the middle of texts. Texts of two versions do not fit together,
- * so a text goes on at its own version while an engine of that version can take it, and is begun
- * anew only after that.
+ * so a text is continued by its own version while an engine of that version can run it, and is
+ * restarted only after that.
  */
 public final class Continuation {
   /** Longer than an engine that has fallen silent stays listed, in milliseconds. */
@@ -20,9 +20,9 @@
    * A choice.
    *
    * @param engines engines that may run the item now; empty to wait
-   * @param anew whether the text so far is dropped at an engine of another version
+   * @param restart whether an engine of another version may start the text over
    */
-  public record Choice(List<Engine> engines, boolean anew) {}
+  public record Choice(List<Engine> engines, boolean restart) {}
 
   private Continuation() {}
 
--- a/core/src/main/java/org/marigoldmill/core/continuation/ServiceVersions.java
+++ b/core/src/main/java/org/marigoldmill/core/continuation/ServiceVersions.java
@@ -8,7 +8,7 @@
 /**
  * Tells with which software version a stream of a service was begun.
  *
- * <p>Answers the load of streams that callers take up at any instance, in a service whose engines
+ * <p>Answers the load of streams that callers resume at any instance, in a service whose engines
  * may run several versions side by side. One version of a service is its default: streams begun
  * with it leave no record, and a stream without a record was begun with it. Streams begun with
  * another version are recorded. So a service of one version costs nothing, and one that changes
@@ -19,7 +19,7 @@
  * <p>Times are readings of a monotonic clock in milliseconds.
  */
 public final class ServiceVersions {
-  /** Longest time from the begin of a stream until its caller takes it up, in milliseconds. */
+  /** Longest time from the start of a stream until its caller resumes it, in milliseconds. */
   public static final long MAX_STREAM_MS = 60_000;
 
   /** Time by which instances may see the same change sooner or later, in milliseconds. */
@@ -85,8 +85,8 @@
   /**
    * Returns whether a stream may begin with a version although its record cannot be stored.
    *
-   * <p>Without an engine of the default version, a missing record can make no stream go on at
-   * another version; the stream then cannot be taken up.
+   * <p>Without an engine of the default version, a missing record cannot make another version
+   * continue the stream; it then cannot be resumed.
    */
   public synchronized boolean mayBeginUnrecorded(String service, String version, long nowMs) {
     Service state = service(service);
--- a/core/src/main/java/org/marigoldmill/core/continuation/package-info.java
+++ b/core/src/main/java/org/marigoldmill/core/continuation/package-info.java
@@ -1,2 +1,2 @@
-/** Which engines may go on with a text or a stream that another engine has begun. */
+/** Which engines may continue a text or a stream that another engine has started. */
 package org.marigoldmill.core.continuation;
--- a/core/src/main/java/org/marigoldmill/core/limit/LimitShare.java
+++ b/core/src/main/java/org/marigoldmill/core/limit/LimitShare.java
@@ -3,9 +3,9 @@
 /**
  * The part of an engine's request limit that one instance may use for requests of one urgency.
  *
- * <p>Answers the load of an engine in need behind many instances, of which a few send most of the
- * requests and each of the others one now and then. The limit is divided by demand, so that all of
- * it is used wherever the load arrives. An instance with a steady part sends at that rate. One
+ * <p>Answers the load of an overloaded engine behind many instances, of which a few send most of
+ * the requests and each of the others one now and then. The limit is divided by demand, so that all
+ * of it is used wherever the load arrives. An instance with a steady part sends at that rate. One
  * whose part is less than a request in a second lets a fixed share of its requests pass instead: a
  * rate of one in half a minute would refuse its rare requests while the engine has room.
  *
--- a/core/src/test/java/org/marigoldmill/core/continuation/ContinuationTest.java
+++ b/core/src/test/java/org/marigoldmill/core/continuation/ContinuationTest.java
@@ -35,7 +35,7 @@
     }
 
     @Test
-    void should_take_an_engine_of_another_model_before_it_begins_anew() {
+    void should_take_an_engine_of_another_model_before_it_restarts() {
       assertThat(Continuation.choose(V1, List.of(newer), List.of(newer), List.of(old), 0))
           .isEqualTo(new Continuation.Choice(List.of(old), false));
     }
@@ -47,13 +47,13 @@
     }
 
     @Test
-    void should_begin_anew_when_no_engine_of_its_version_is_left() {
+    void should_restart_when_no_engine_of_its_version_is_left() {
       assertThat(Continuation.choose(V1, List.of(newer), List.of(newer), List.of(newer), 0))
           .isEqualTo(new Continuation.Choice(List.of(newer), true));
     }
 
     @Test
-    void should_begin_anew_when_the_engine_that_it_waits_for_does_not_come_back() {
+    void should_restart_when_the_engine_that_it_waits_for_does_not_come_back() {
       long waitedMs = Continuation.MAX_WAIT_MS + 1;
       assertThat(Continuation.choose(V1, List.of(newer), List.of(newer, old), List.of(), waitedMs))
           .isEqualTo(new Continuation.Choice(List.of(newer), true));
--- a/server/src/main/java/org/marigoldmill/server/batch/RolloutScheduler.java
+++ b/server/src/main/java/org/marigoldmill/server/batch/RolloutScheduler.java
@@ -341,9 +341,9 @@
             });
   }
 
-  private void beginAnew(ItemTask task, String before, Engine engine) {
+  private void logAndRestart(ItemTask task, String before, Engine engine) {
     logger.atInfo().log(
-        "item begins anew id=%s engine=%s software=%s before=%s waited_ms=%d last_event=%s",
+        "item restarted id=%s engine=%s software=%s before=%s waited_ms=%d last_event=%s",
         task.item().getId(),
         engine.id(),
         engine.softwareVersion(),
@@ -357,7 +357,7 @@
     task.text()
         .softwareVersion()
         .filter(v -> !v.equals(engine.softwareVersion()))
-        .ifPresent(v -> beginAnew(task, v, engine));
+        .ifPresent(v -> logAndRestart(task, v, engine));
     task.startAttempt(engine, clock.now());
     logger.atFine().log("item started id=%s engine=%s", task.item().getId(), engine.id());
     try {
--- a/server/src/main/java/org/marigoldmill/server/deployment/CallerProtocol.java
+++ b/server/src/main/java/org/marigoldmill/server/deployment/CallerProtocol.java
@@ -49,13 +49,13 @@
   OptionalLong deadlineMs(HttpServerExchange exchange);
 
   /**
-   * A stream that a caller takes up after its connection broke.
+   * A stream that a caller resumes after its connection broke.
    *
    * @param firstRequest id of the request that brought the first event, if the caller names it
    */
   record ResumedStream(Optional<String> firstRequest) {}
 
-  /** Returns the stream that a request takes up, or empty if it begins a stream. */
+  /** Returns the stream that a request resumes, or empty if it starts one. */
   Optional<ResumedStream> resumedStream(HttpServerExchange exchange);
 
   /** Returns the request headers to forward to an upstream. */
--- a/server/src/main/java/org/marigoldmill/server/gateway/StreamForwarder.java
+++ b/server/src/main/java/org/marigoldmill/server/gateway/StreamForwarder.java
@@ -99,7 +99,7 @@
   /**
    * Forwards a request and writes the response, if it begins, to the exchange.
    *
-   * @param resumed the stream that the caller takes up, if the request does not begin one
+   * @param resumed the stream that the caller resumes, if the request does not start one
    */
   public Outcome forward(
       Forwarder.Request request,
--- a/server/src/main/java/org/marigoldmill/server/gateway/StreamOrigins.java
+++ b/server/src/main/java/org/marigoldmill/server/gateway/StreamOrigins.java
@@ -24,8 +24,8 @@
 import org.marigoldmill.server.store.Topic;
 
 /**
- * Stores with which software version streams were begun, and looks it up when a caller takes a
- * stream up at another instance.
+ * Stores with which software version streams were begun, and looks it up when a caller resumes a
+ * stream at another instance.
  *
  * <p>The default versions of the services are followed; the records of streams are read only when
  * one is looked up.
@@ -37,7 +37,7 @@
   private static final long DEFAULTS_READ_WAIT_MS = 10_000;
   private static final int MAX_STREAMS_PER_PARTITION = 10_000;
 
-  /** Where a stream may go on. */
+  /** Where a stream may be continued. */
   enum Origin {
     /** At engines of a known software version. */
     KNOWN,
