--- a/core/src/test/java/org/marigoldmill/core/limit/EngineLimitsTest.java
+++ b/core/src/test/java/org/marigoldmill/core/limit/EngineLimitsTest.java
@@ -115,6 +115,24 @@
       }
     }
 
+    @Test
+    void should_be_used_by_submissions_just_after_callers_have_fallen_silent() {
+      for (int size : SIZES) {
+        SimulatedFleet fleet = settled(size, 3, Load.CALLS_EVERYWHERE, 15);
+        fleet.instances.forEach(i -> i.callsPerSecond = 0);
+        fleet.run(SETTLE_S);
+        fleet.startCounting();
+        for (int step = 0; step < RUN_S / 4; step++) {
+          fleet.instances.get(0).backgroundPerSecond = 30;
+          fleet.run(1.5);
+          fleet.instances.get(0).backgroundPerSecond = 0;
+          fleet.run(2.5);
+        }
+        assertThat(fleet.mostInFourSeconds()).isLessThanOrEqualTo(allowed(3));
+        assertThat(fleet.sent()).isGreaterThan((int) (0.75 * 3 * RUN_S));
+      }
+    }
+
     @Test
     void should_be_kept_when_callers_press_three_times_as_hard() {
       for (int size : SIZES) {
