--- /dev/null
+++ b/cli/src/test/java/org/marigoldmill/cli/deployment/CutOffInstanceIT.java
@@ -0,0 +1,136 @@
+package org.marigoldmill.cli.deployment;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.Collections;
+import java.util.List;
+import java.util.stream.IntStream;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+import org.marigoldmill.cli.process.UpstreamPaths;
+import org.marigoldmill.cli.process.UpstreamPaths.Cut;
+import org.marigoldmill.http.HttpCall.Header;
+import org.marigoldmill.http.HttpResponse;
+
+/** An instance that reaches no upstream, beside two that do. */
+class CutOffInstanceIT {
+  /** Third instance of the cluster; its paths to upstreams can be cut. */
+  private static final int CUT_OFF = 2;
+
+  private static final int CALLS = 12;
+
+  /** Time that callers wait for an answer, as the shortest on the users' sheets. */
+  private static final String DEADLINE_MS = "800";
+
+  private DeploymentCluster cluster;
+  private UpstreamPaths paths;
+  private EngineStandin other;
+
+  @BeforeEach
+  void start() {
+    cluster = new DeploymentCluster();
+    other = new EngineStandin("p-2", "", 0, 0);
+    cluster.store.put("servers", "p-2", other.entry("app"));
+    paths = new UpstreamPaths();
+    cluster.startInstancesAt(cluster.store.addressWithUpstreamsAt(paths::through), "cut-off");
+    for (int i = 0; i < 3; i++) {
+      int instance = i;
+      DeploymentCluster.await(
+          () -> cluster.requestWithKey(instance, "/app/first", "key").status() == 200);
+    }
+  }
+
+  @AfterEach
+  void stop() {
+    other.close();
+    cluster.close();
+    paths.close();
+  }
+
+  private HttpResponse call(int instance, String path, String id) {
+    return cluster.sendWith(instance, path, id, new Header("X-Deadline-Ms", DEADLINE_MS));
+  }
+
+  private List<Integer> statuses(int instance, String prefix, String id) {
+    return IntStream.range(0, CALLS)
+        .mapToObj(i -> call(instance, prefix + i, id + i).status())
+        .toList();
+  }
+
+  private long runs(String id) {
+    return List.of(cluster.plain, other).stream()
+        .mapToInt(e -> Collections.frequency(e.startedRequests(), id))
+        .sum();
+  }
+
+  @Nested
+  class Callers {
+    @ParameterizedTest
+    @EnumSource(Cut.class)
+    void should_be_served_while_other_instances_reach_upstreams(Cut how) {
+      // GIVEN
+      paths.cut(how);
+      // WHEN
+      List<Integer> statuses = statuses(CUT_OFF, "/app/x", "call-");
+      // THEN
+      assertThat(statuses).containsOnly(200);
+    }
+
+    @ParameterizedTest
+    @EnumSource(Cut.class)
+    void should_be_served_exactly_once_when_their_requests_are_not_idempotent(Cut how) {
+      // GIVEN
+      paths.cut(how);
+      // WHEN
+      List<Integer> statuses = statuses(CUT_OFF, "/once/x", "once-");
+      // THEN
+      assertThat(statuses).containsOnly(200);
+      assertThat(IntStream.range(0, CALLS).mapToLong(i -> runs("once-" + i))).containsOnly(1L);
+    }
+
+    @ParameterizedTest
+    @EnumSource(Cut.class)
+    void should_get_whole_streams(Cut how) {
+      // GIVEN
+      paths.cut(how);
+      statuses(CUT_OFF, "/app/x", "call-");
+      // WHEN
+      HttpResponse stream = cluster.sendWith(CUT_OFF, "/gen/x", "stream-1");
+      // THEN
+      assertThat(stream.status()).isEqualTo(200);
+      assertThat(stream.text()).contains("id: 1\n", "id: " + DeploymentCluster.EVENTS + "\n");
+    }
+
+    @Test
+    void should_be_refused_at_once_when_no_instance_reaches_an_upstream() {
+      // GIVEN
+      paths.cut(Cut.HANG);
+      cluster.plain.close();
+      other.close();
+      cluster.engine.close();
+      statuses(CUT_OFF, "/app/x", "call-");
+      // WHEN
+      List<Integer> statuses = statuses(CUT_OFF, "/app/y", "late-");
+      // THEN
+      assertThat(statuses).containsOnly(503);
+    }
+
+    @Test
+    void should_be_served_without_help_when_the_cut_has_ended() {
+      // GIVEN
+      paths.cut(Cut.HANG);
+      statuses(CUT_OFF, "/app/x", "call-");
+      // WHEN
+      paths.heal();
+      // THEN
+      DeploymentCluster.await(() -> cluster.isReady(cluster.instances.get(CUT_OFF)));
+      cluster.instances.get(0).kill();
+      cluster.instances.get(1).kill();
+      assertThat(statuses(CUT_OFF, "/app/y", "late-")).containsOnly(200);
+    }
+  }
+}
--- a/cli/src/test/java/org/marigoldmill/cli/deployment/StoreStandin.java
+++ b/cli/src/test/java/org/marigoldmill/cli/deployment/StoreStandin.java
@@ -8,6 +8,7 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.nio.ByteBuffer;
 import java.util.ArrayList;
 import java.util.Arrays;
@@ -16,6 +17,8 @@
 import java.util.Map;
 import java.util.TreeMap;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.function.UnaryOperator;
 import org.marigoldmill.cli.process.ProcessCluster;
 import org.marigoldmill.http.HttpResponse;
 import org.marigoldmill.http.HttpServer;
@@ -25,6 +28,7 @@
   private static final ObjectMapper MAPPER = new ObjectMapper();
   static final int PARTITIONS = 12;
   private static final int WORKERS = 96;
+  private static final String UPSTREAM_TOPIC = "keyed.servers";
   private static final long MEMBER_TTL_MS = 1_500;
 
   /** What happens to the calls of instances. */
@@ -40,6 +44,7 @@
   private final Map<String, Integer> waitingReads = new TreeMap<>();
   private final Map<String, Integer> peakWaitingReads = new TreeMap<>();
   private final Map<String, Long> members = new TreeMap<>();
+  private final List<HttpServer> views = new CopyOnWriteArrayList<>();
   private final HttpServer server;
   private List<String> memberNames = List.of();
   private long generation;
@@ -53,15 +58,51 @@
 
   /** Starts a store that can hold as many calls open as it has workers. */
   public StoreStandin(int workers) {
-    server =
-        HttpServer.forAddress("127.0.0.1:0")
-            .workerThreads(workers)
-            .post("/-/log-append", subjectToCondition(this::appendAfterDelay))
-            .get("/-/log-read", subjectToCondition(this::read))
-            .get("/-/log-newest", subjectToCondition(this::newest))
-            .post("/-/log-join", subjectToCondition(this::joinGroup))
-            .post("/-/log-leave", subjectToCondition(this::leaveGroup))
-            .start();
+    server = serve(workers, UnaryOperator.identity());
+  }
+
+  /** Returns an address at which upstreams are listed with other addresses than they have. */
+  public String addressWithUpstreamsAt(UnaryOperator<String> addresses) {
+    HttpServer view = serve(WORKERS, content -> withAddress(content, addresses));
+    views.add(view);
+    return view.address();
+  }
+
+  private HttpServer serve(int workers, UnaryOperator<byte[]> upstreamView) {
+    return HttpServer.forAddress("127.0.0.1:0")
+        .workerThreads(workers)
+        .post("/-/log-append", subjectToCondition(this::appendAfterDelay))
+        .get("/-/log-read", subjectToCondition(r -> read(r, viewOf(r, upstreamView))))
+        .get("/-/log-newest", subjectToCondition(r -> newest(r, viewOf(r, upstreamView))))
+        .post("/-/log-join", subjectToCondition(this::joinGroup))
+        .post("/-/log-leave", subjectToCondition(this::leaveGroup))
+        .start();
+  }
+
+  private static UnaryOperator<byte[]> viewOf(
+      HttpServer.Request request, UnaryOperator<byte[]> upstreamView) {
+    return request.query("topic").filter(UPSTREAM_TOPIC::equals).isPresent()
+        ? upstreamView
+        : UnaryOperator.identity();
+  }
+
+  private static byte[] withAddress(byte[] content, UnaryOperator<String> addresses) {
+    int valueAt = 1 + content[0];
+    if (valueAt == content.length) {
+      return content;
+    }
+    try {
+      ObjectNode entry = (ObjectNode) MAPPER.readTree(content, valueAt, content.length - valueAt);
+      if (entry.has("address")) {
+        entry.put("address", addresses.apply(entry.get("address").asText()));
+      }
+      ByteArrayOutputStream changed = new ByteArrayOutputStream();
+      changed.write(content, 0, valueAt);
+      changed.writeBytes(entry.toString().getBytes(UTF_8));
+      return changed.toByteArray();
+    } catch (IOException e) {
+      throw new UncheckedIOException(e);
+    }
   }
 
   /** Makes the store refuse every call, including waiting reads, or serve again. */
@@ -151,6 +192,7 @@
   public void close() {
     condition(Condition.SERVING);
     server.close();
+    views.forEach(HttpServer::close);
   }
 
   private HttpResponse appendAfterDelay(HttpServer.Request request) {
@@ -176,7 +218,7 @@
     }
   }
 
-  private HttpResponse read(HttpServer.Request request) {
+  private HttpResponse read(HttpServer.Request request, UnaryOperator<byte[]> view) {
     List<byte[]> log = partition(request);
     int from = (int) request.queryLong("from", 0);
     long until = System.currentTimeMillis() + request.queryLong("wait_ms", 0);
@@ -196,7 +238,7 @@
       countWaitingReads(topic, -1);
     }
     synchronized (log) {
-      return recordsFrom(log, from);
+      return recordsFrom(log, from, view);
     }
   }
 
@@ -205,27 +247,28 @@
     peakWaitingReads.merge(topic, waiting, Math::max);
   }
 
-  private static HttpResponse recordsFrom(List<byte[]> log, int from) {
+  private static HttpResponse recordsFrom(List<byte[]> log, int from, UnaryOperator<byte[]> view) {
     ByteArrayOutputStream out = new ByteArrayOutputStream();
     out.writeBytes(ByteBuffer.allocate(2 * Long.BYTES).putLong(log.size()).putLong(0).array());
-    for (byte[] content : log.subList(Math.min(from, log.size()), log.size())) {
+    for (byte[] stored : log.subList(Math.min(from, log.size()), log.size())) {
+      byte[] content = view.apply(stored);
       out.writeBytes(ByteBuffer.allocate(Integer.BYTES).putInt(content.length).array());
       out.writeBytes(content);
     }
     return new HttpResponse(200, List.of(), out.toByteArray());
   }
 
-  private HttpResponse newest(HttpServer.Request request) {
+  private HttpResponse newest(HttpServer.Request request, UnaryOperator<byte[]> view) {
     List<byte[]> log = partition(request);
     synchronized (log) {
-      return newest(log);
+      return newest(log, view);
     }
   }
 
-  private static HttpResponse newest(List<byte[]> log) {
+  private static HttpResponse newest(List<byte[]> log, UnaryOperator<byte[]> view) {
     Map<String, ObjectNode> newest = new TreeMap<>();
     for (int offset = 0; offset < log.size(); offset++) {
-      byte[] content = log.get(offset);
+      byte[] content = view.apply(log.get(offset));
       String key = new String(content, 1, content[0], UTF_8);
       byte[] value = Arrays.copyOfRange(content, 1 + content[0], content.length);
       ObjectNode item = MAPPER.createObjectNode().put("key", key).put("offset", offset);
--- a/cli/src/test/java/org/marigoldmill/cli/process/Relay.java
+++ b/cli/src/test/java/org/marigoldmill/cli/process/Relay.java
@@ -5,6 +5,7 @@
 import java.io.OutputStream;
 import java.io.UncheckedIOException;
 import java.net.InetAddress;
+import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.net.SocketException;
@@ -14,6 +15,11 @@
 /** A TCP relay between two processes whose connections a test can delay, reset or silence. */
 public final class Relay implements AutoCloseable {
   private static final int CHUNK_BYTES = 16 * 1024;
+  private static final int BACKLOG = 64;
+  private static final int QUEUE_FILLERS = 4;
+  private static final long QUEUE_FILL_MS = 30;
+  private static final int BIND_TRIES = 100;
+  private static final long BIND_PAUSE_MS = 10;
 
   private enum State {
     OPEN,
@@ -22,27 +28,26 @@
 
   private record Connection(Socket from, Socket to) {}
 
-  private final ServerSocket server;
+  private final int port;
   private final String target;
   private final List<Connection> connections = new CopyOnWriteArrayList<>();
   private final List<Socket> silenced = new CopyOnWriteArrayList<>();
+  private final List<Socket> fillers = new CopyOnWriteArrayList<>();
+  private volatile ServerSocket server;
   private volatile State state = State.OPEN;
   private volatile boolean answersDropped;
   private volatile long delayMs;
 
   public Relay(String target) {
     this.target = target;
-    try {
-      this.server = new ServerSocket(0, 64, InetAddress.getLoopbackAddress());
-    } catch (IOException e) {
-      throw new UncheckedIOException(e);
-    }
-    startDaemon(this::acceptAll);
+    this.server = bind(0, BACKLOG);
+    this.port = server.getLocalPort();
+    startDaemon(() -> acceptAll(server));
   }
 
   /** Returns the address on which the relay accepts connections. */
   public String address() {
-    return "127.0.0.1:" + server.getLocalPort();
+    return "127.0.0.1:" + port;
   }
 
   /** Closes all connections, and every new connection as soon as it is accepted. */
@@ -52,8 +57,32 @@
   }
 
   /** Forwards new connections again; silenced connections stay silent. */
-  public void heal() {
+  public synchronized void heal() {
     state = State.OPEN;
+    if (server.isClosed() || !fillers.isEmpty()) {
+      stopListening();
+      ServerSocket next = bindAgain(BACKLOG);
+      server = next;
+      startDaemon(() -> acceptAll(next));
+    }
+  }
+
+  /** Refuses new connections, as a port without a listener does; open ones live on. */
+  public synchronized void refuseNewConnections() {
+    stopListening();
+  }
+
+  /** Lets new connections hang before they are established; open ones live on. */
+  public synchronized void hangNewConnections() {
+    stopListening();
+    server = bindAgain(1);
+    // The kernel drops what does not fit into the queue of connections that nobody accepts.
+    for (int i = 0; i < QUEUE_FILLERS; i++) {
+      Socket filler = new Socket();
+      fillers.add(filler);
+      startDaemon(() -> connect(filler));
+    }
+    ProcessCluster.pause(QUEUE_FILL_MS);
   }
 
   /** Discards all later data on the connections open now; new connections work. */
@@ -85,19 +114,56 @@
   }
 
   @Override
-  public void close() {
+  public synchronized void close() {
     cut();
+    stopListening();
+  }
+
+  private static ServerSocket bind(int port, int backlog) {
+    try {
+      return new ServerSocket(port, backlog, InetAddress.getLoopbackAddress());
+    } catch (IOException e) {
+      throw new UncheckedIOException(e);
+    }
+  }
+
+  /** A port is free only once the thread that accepted there has left. */
+  private ServerSocket bindAgain(int backlog) {
+    for (int i = 0; i < BIND_TRIES; i++) {
+      try {
+        return new ServerSocket(port, backlog, InetAddress.getLoopbackAddress());
+      } catch (IOException e) {
+        ProcessCluster.pause(BIND_PAUSE_MS);
+      }
+    }
+    return bind(port, backlog);
+  }
+
+  private void connect(Socket filler) {
+    try {
+      filler.connect(new InetSocketAddress(InetAddress.getLoopbackAddress(), port));
+    } catch (IOException e) {
+      // Closed by heal.
+      return;
+    }
+  }
+
+  private void stopListening() {
     try {
       server.close();
+      for (Socket filler : fillers) {
+        filler.close();
+      }
+      fillers.clear();
     } catch (IOException e) {
       throw new UncheckedIOException(e);
     }
   }
 
-  private void acceptAll() {
-    while (!server.isClosed()) {
+  private void acceptAll(ServerSocket listening) {
+    while (!listening.isClosed()) {
       try {
-        accept(server.accept());
+        accept(listening.accept());
       } catch (IOException e) {
         return;
       }
