Callers of an instance that reaches no upstream are served through another instance

What callers saw: at an instance cut off from all engines they waited until their own deadline (connections hang), or were refused (connections refused), while other instances would have served them. Cause: an instance judged each engine by itself. Nothing concluded that all are out of reach at once, and an instance had no other way to serve a request than an engine. Change: while UpstreamReachability says that no upstream is reached, a request goes to another instance as its caller sent it, key included, over an address of its own (relay_address). That one authenticates, routes, counts usage and keeps limits as for a caller of its own; it never passes the request on, refuses it under another configuration, and says whether it has run. Requests in progress that may be repeated are given up once nothing is heard of any upstream, and repeated there. The instance is unready while another one reaches upstreams; where none does, it refuses at once.

--- a/cli/src/test/java/org/marigoldmill/cli/process/DeploymentProcess.java
+++ b/cli/src/test/java/org/marigoldmill/cli/process/DeploymentProcess.java
@@ -37,6 +37,7 @@
             "caller_address = \"" + caller + "\"",
             "ready_address = \"" + ready + "\"",
             "metrics_address = \"" + ProcessCluster.freeAddress() + "\"",
+            "relay_address = \"" + ProcessCluster.freeAddress() + "\"",
             "store = \"" + store + "\"",
             "turn_guard_ms = 500",
             String.join("\n", extra),
--- a/core/src/main/java/org/marigoldmill/core/attempt/AttemptTracker.java
+++ b/core/src/main/java/org/marigoldmill/core/attempt/AttemptTracker.java
@@ -17,6 +17,7 @@
   private final boolean idempotent;
   private final int maxAttempts;
   private int attempts;
+  private int sending;
   private int refusals;
   private int failures;
   private boolean mayHaveRun;
@@ -37,12 +38,27 @@
 
   /** Records that an attempt is about to be sent. */
   public void recordSent() {
-    attempts++;
+    recordSent(1);
+  }
+
+  /**
+   * Records that the request is about to be sent to another instance, which may make attempts.
+   *
+   * @param granted number of attempts that it may make
+   */
+  public void recordSent(int granted) {
+    sending = granted;
+    attempts += granted;
+  }
+
+  /** Returns how many attempts another instance may make, so that one is left if it is lost. */
+  public int grantableAttempts() {
+    return Math.max(1, maxAttempts - attempts - 1);
   }
 
   /** Records that the attempt has certainly not run. */
   public void recordNotRun() {
-    attempts--;
+    attempts -= sending;
     refusals++;
     kind = mayHaveRun ? ErrorKind.UPSTREAM_LOST : ErrorKind.NO_UPSTREAM;
   }
@@ -57,6 +73,18 @@
     kind = silent ? ErrorKind.UPSTREAM_SILENT : ErrorKind.UPSTREAM_LOST;
   }
 
+  /** Records that the attempt was given up because no upstream is reached; it does not count. */
+  public void recordAbandoned() {
+    attempts -= sending;
+    recordLost(true);
+  }
+
+  /** Records that another instance has got a final answer; it has counted what ran. */
+  public void recordAnsweredElsewhere() {
+    mayHaveRun = true;
+    answered = true;
+  }
+
   /** Records that the upstream has started to run the attempt. */
   public void recordStarted() {
     started = true;
--- a/core/src/main/java/org/marigoldmill/core/route/Route.java
+++ b/core/src/main/java/org/marigoldmill/core/route/Route.java
@@ -74,6 +74,26 @@
     return targets.get(targets.size() - 1).service();
   }
 
+  /** Returns a copy for a request of which another instance makes some of the attempts. */
+  public Route withMaxAttempts(int attempts) {
+    return new Route(
+        name,
+        host,
+        pathPrefix,
+        kind,
+        publicAccess,
+        priority,
+        timeoutMs,
+        sloMs,
+        Math.min(attempts, maxAttempts),
+        targets,
+        streaming,
+        resumable,
+        singleVersion,
+        dueMs,
+        giveUpMs);
+  }
+
   /** Returns whether a request on this route may be sent to an upstream more than once. */
   public boolean retryable() {
     return kind == Kind.IDEMPOTENT || (streaming && resumable);
--- a/http/src/main/java/org/marigoldmill/http/Cancellation.java
+++ b/http/src/main/java/org/marigoldmill/http/Cancellation.java
@@ -21,6 +21,13 @@
     abortAction.run();
   }
 
+  /** Returns a cancellation for a part of this one, which can be cancelled by itself. */
+  public Cancellation child() {
+    Cancellation child = new Cancellation();
+    onCancel(child::cancel);
+    return child;
+  }
+
   /** Returns whether {@link #cancel} has been called. */
   public boolean isCancelled() {
     return cancelled;
--- a/server/src/main/java/org/marigoldmill/server/DeploymentInstance.java
+++ b/server/src/main/java/org/marigoldmill/server/DeploymentInstance.java
@@ -19,6 +19,7 @@
 import java.util.random.RandomGenerator;
 import org.marigoldmill.core.limit.EngineLimits;
 import org.marigoldmill.core.quarantine.SuspectTable;
+import org.marigoldmill.core.relay.RelayPeers;
 import org.marigoldmill.core.routing.UpstreamTable;
 import org.marigoldmill.core.weights.EngineVersions;
 import org.marigoldmill.core.weights.LoadQueue;
@@ -48,6 +49,8 @@
 import org.marigoldmill.server.gateway.UpstreamPicker;
 import org.marigoldmill.server.gateway.UpstreamSender;
 import org.marigoldmill.server.reachability.UpstreamPathMonitor;
+import org.marigoldmill.server.relay.InstanceDirectory;
+import org.marigoldmill.server.relay.RelayClient;
 import org.marigoldmill.server.store.LogStore;
 import org.marigoldmill.server.store.MeteredLogStore;
 import org.marigoldmill.server.store.PartitionFollower;
@@ -69,6 +72,7 @@
   private static final long EXPIRY_INTERVAL_MS = 5_000;
   private static final long LIMIT_REPORT_INTERVAL_MS = 250;
   private static final long ORIGINS_INTERVAL_MS = 1_000;
+  private static final long DIRECTORY_INTERVAL_MS = 250;
 
   /** Without the store an instance cannot accept submissions, so it reports itself not ready. */
   private static final long MAX_STORE_OUTAGE_MS = 800;
@@ -106,6 +110,8 @@
   private final FleetLog fleet;
   private final CrashLog crashes;
   private final UpstreamPathMonitor pathMonitor;
+  private final RelayPeers peers;
+  private final InstanceDirectory directory;
   private final EngineLimits limits;
   private final LimitLog limitLog;
   private final StreamOrigins origins;
@@ -164,6 +170,11 @@
     this.crashes = new CrashLog(store, settings.getInstance(), suspects, clock);
     this.pathMonitor = new UpstreamPathMonitor(engines, RandomGenerator.getDefault(), clock);
     final HttpClient client = register(HttpClient.checkingHeads("upstreams", 1, pathMonitor));
+    this.peers =
+        new RelayPeers(settings.getInstance(), settings.getZone(), RandomGenerator.getDefault());
+    this.directory =
+        new InstanceDirectory(
+            store, settings, peers, pathMonitor, System::currentTimeMillis, clock);
     this.limits =
         new EngineLimits(
             settings.getInstance(), process, RandomGenerator.getDefault(), clock.now());
@@ -179,7 +190,10 @@
     this.origins = new StreamOrigins(store, engines, settings.getPartitions(), clock);
     UpstreamPicker picker =
         new UpstreamPicker(engines, upstreams, limits, settings.getZone(), clock);
-    Forwarder forwarder = new Forwarder(picker, upstreams, sender, crashDetector, clock);
+    RelayClient relay =
+        new RelayClient(pathMonitor, peers, register(HttpClient.create("instances", 1)), clock);
+    Forwarder forwarder =
+        new Forwarder(picker, upstreams, sender, crashDetector, pathMonitor, relay, clock);
     ModelEngineAllocator shares = new ModelEngineAllocator(deployment, engines, partitions);
     this.rollouts =
         new Rollouts(
@@ -211,7 +225,8 @@
             deployment,
             operatorFollower::overdueMs,
             forwarder,
-            new StreamForwarder(picker, upstreams, sender, origins, ports.callers(), clock),
+            new StreamForwarder(
+                picker, upstreams, sender, origins, pathMonitor, relay, ports.callers(), clock),
             submissions,
             usage,
             metrics,
@@ -244,11 +259,12 @@
     boolean ready = isUsable();
     if (loggedReady.getAndSet(ready) != ready) {
       logger.atInfo().log(
-          "ready=%s stopping=%s config=%s engines=%s config_overdue_ms=%d",
+          "ready=%s stopping=%s config=%s engines=%s upstreams_lost=%s config_overdue_ms=%d",
           ready,
           draining.get(),
           deployment.config().isPresent(),
           engineFollower.ready(),
+          pathMonitor.isLost(),
           operatorFollower.overdueMs());
     }
     return ready;
@@ -260,7 +276,8 @@
         && deployment.config().isPresent()
         && servers.servesCallers()
         && operatorFollower.overdueMs() < MAX_STORE_OUTAGE_MS
-        && engineFollower.ready();
+        && engineFollower.ready()
+        && !isBetterAvoided();
   }
 
   /**
@@ -280,6 +297,7 @@
         "stopping open=%d items=%d", servers.openRequests(), rollouts.runningAttempts());
     List<String> inProgress = rollouts.startDraining();
     long itemsUntilUnixMs = System.currentTimeMillis() + schedule.serveUntilMs() - startedAtMs;
+    startThread("leave-directory", directory::leave);
     final Thread leaving = startThread("leave", () -> leave(inProgress, itemsUntilUnixMs));
     logShutdownPhase("serving", startedAtMs);
     while (clock.now() < schedule.serveUntilMs() && !refuseCallersIfQuiet(schedule.removedMs())) {
@@ -313,6 +331,11 @@
     limitLog.leave();
   }
 
+  /** Unready only while callers find an instance elsewhere that reaches upstreams by itself. */
+  private boolean isBetterAvoided() {
+    return pathMonitor.isLost() && peers.anyReachesUpstreams();
+  }
+
   /** Starts a thread that the end of the process does not wait for. */
   private static Thread startThread(String name, Runnable action) {
     Thread thread = new Thread(action, name);
@@ -404,6 +427,7 @@
     startTask(0, "crashes-log", crashes.follower()::pollOnce);
     startTask(0, "origins-log", origins.follower()::pollOnce);
     startTask(0, "limit-log", limitLog.follower()::pollOnce);
+    startTask(0, "instances-log", directory.follower()::pollOnce);
     startTask(0, "fleet", () -> duties.follow(fleet.follower()));
     startTask(0, "lease-log", () -> duties.follow(lease.follower()));
     for (PartitionReplica replica : partitions.replicas()) {
@@ -431,6 +455,7 @@
             clock);
     startTask(duties::intervalMs, "weights", orderDispatcher::sendOrders);
     startTask(duties::intervalMs, "weight-plan", rollouts::planWeights);
+    startTask(DIRECTORY_INTERVAL_MS, "instances", directory::publishDue);
     startTask(0, "upstream-path", () -> pathMonitor.checkOnce(client));
     startTask(LIMIT_REPORT_INTERVAL_MS, "limits", limitLog::publishDue);
     startTask(
@@ -460,6 +485,9 @@
     long acceptedBeforeUnixMs =
         System.currentTimeMillis() - settings.getResultRetentionMs() - CLOCK_SKEW_MARGIN_MS;
     partitions.deleteEnded(acceptedBeforeUnixMs, membership::ownsPartition);
+    if (lease.remainsHeldFor(EXPIRY_INTERVAL_MS / 10)) {
+      directory.deleteOutdated();
+    }
   }
 
   private void startTask(long pauseMs, String name, PeriodicTask.Action action) {
--- a/server/src/main/java/org/marigoldmill/server/DeploymentServers.java
+++ b/server/src/main/java/org/marigoldmill/server/DeploymentServers.java
@@ -6,6 +6,7 @@
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
+import java.util.stream.Stream;
 import org.marigoldmill.core.route.DeploymentConfig;
 import org.marigoldmill.http.HttpResponse;
 import org.marigoldmill.http.HttpServer;
@@ -28,12 +29,22 @@
 
   private static final int LOG_INTERVAL_SECONDS = 5;
 
+  /** Requests of other instances that are handled at the same time. */
+  private static final int RELAY_WORKERS = 32;
+
+  /** Headers that another instance adds to those of its caller, in bytes. */
+  private static final int RELAY_HEADER_BYTES = 1_024;
+
+  /** Longer than an instance reuses an idle connection. */
+  private static final int RELAY_IDLE_TIMEOUT_MS = 10_000;
+
   private final DeploymentSettings settings;
   private final Gateway gateway;
   private final Metrics metrics;
   private Optional<HttpServer> readyServer = Optional.empty();
   private Optional<HttpServer> metricsServer = Optional.empty();
   private volatile Optional<HttpServer> callerServer = Optional.empty();
+  private volatile Optional<HttpServer> relayServer = Optional.empty();
   private boolean closed;
 
   /** Creates the servers without starting any. */
@@ -87,6 +98,23 @@
                     limits.maxHeaderBytes(),
                     limits.headerTimeoutMs(),
                     IDLE_TIMEOUT_FACTOR * limits.idleTimeoutMs()));
+    if (relayServer.isEmpty() && !settings.getRelayAddress().isEmpty()) {
+      relayServer = startRelayServer(limits);
+    }
+  }
+
+  private Optional<HttpServer> startRelayServer(DeploymentConfig.Limits limits) {
+    return startIfAddressFree(
+        "relay",
+        settings.getRelayAddress(),
+        HttpServer.forAddress(settings.getRelayAddress())
+            .workerThreads(RELAY_WORKERS)
+            .rootHandler(gateway::handleCarried)
+            .refusalHandler(gateway::refuseCarried)
+            .limits(
+                limits.maxHeaderBytes() + RELAY_HEADER_BYTES,
+                limits.headerTimeoutMs(),
+                RELAY_IDLE_TIMEOUT_MS));
   }
 
   /** Returns whether the server for callers is running. */
@@ -96,12 +124,17 @@
 
   /** Returns the number of callers' requests whose responses are not complete. */
   int openRequests() {
-    return callerServer.map(HttpServer::openRequests).orElse(0);
+    return Stream.of(callerServer, relayServer)
+        .flatMap(Optional::stream)
+        .mapToInt(HttpServer::openRequests)
+        .sum();
   }
 
   /** Refuses callers from now on if no request is open; returns whether they are refused. */
   synchronized boolean refuseCallersIfIdle() {
-    closed = callerServer.map(HttpServer::refuseIfIdle).orElse(true);
+    closed =
+        relayServer.map(HttpServer::refuseIfIdle).orElse(true)
+            && callerServer.map(HttpServer::refuseIfIdle).orElse(true);
     return closed;
   }
 
@@ -112,7 +145,10 @@
    */
   synchronized void closeCallers(long waitMs) {
     closed = true;
+    long startNanos = System.nanoTime();
     callerServer.ifPresent(s -> s.close(waitMs, gateway::logCutRequests));
+    long elapsedMs = (System.nanoTime() - startNanos) / 1_000_000;
+    relayServer.ifPresent(s -> s.close(Math.max(0, waitMs - elapsedMs), gateway::logCutRequests));
   }
 
   @Override
--- a/server/src/main/java/org/marigoldmill/server/batch/ItemRunner.java
+++ b/server/src/main/java/org/marigoldmill/server/batch/ItemRunner.java
@@ -319,7 +319,8 @@
             Optional.empty(),
             Urgency.BACKGROUND,
             clock.now() + REWARD_TIMEOUT_MS,
-            new Cancellation()));
+            new Cancellation(),
+            Optional.empty()));
   }
 
   private Optional<Route> rewardRoute(RewardCall reward) {
--- a/server/src/main/java/org/marigoldmill/server/deployment/CallerProtocol.java
+++ b/server/src/main/java/org/marigoldmill/server/deployment/CallerProtocol.java
@@ -61,6 +61,16 @@
   /** Returns the request headers to forward to an upstream. */
   List<HttpCall.Header> forwardedHeaders(HttpServerExchange exchange);
 
+  /**
+   * Returns the headers with which a request is sent to another instance, key included.
+   *
+   * @param remainingMs time left until the caller's deadline, in milliseconds
+   * @param resumeAfter id of the event after which to resume a stream that was begun; empty to send
+   *     the request as the caller did
+   */
+  List<HttpCall.Header> relayedHeaders(
+      HttpServerExchange exchange, long remainingMs, OptionalLong resumeAfter);
+
   /** Returns the headers of an upstream's response to return to the caller. */
   List<HttpCall.Header> returnedHeaders(List<HttpCall.Header> headers);
 
--- a/server/src/main/java/org/marigoldmill/server/gateway/Forwarder.java
+++ b/server/src/main/java/org/marigoldmill/server/gateway/Forwarder.java
@@ -6,17 +6,21 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
+import java.util.function.BooleanSupplier;
 import org.marigoldmill.core.attempt.AttemptTracker;
 import org.marigoldmill.core.error.ErrorKind;
 import org.marigoldmill.core.limit.LimitWait;
 import org.marigoldmill.core.limit.Urgency;
 import org.marigoldmill.core.placement.Engine;
+import org.marigoldmill.core.relay.RelayPeers.Peer;
 import org.marigoldmill.core.route.Route;
 import org.marigoldmill.core.routing.UpstreamTable;
 import org.marigoldmill.http.Cancellation;
 import org.marigoldmill.http.HttpCall;
 import org.marigoldmill.http.HttpCallException;
+import org.marigoldmill.http.HttpClient;
 import org.marigoldmill.http.HttpResponse;
+import org.marigoldmill.http.HttpStream;
 import org.marigoldmill.schema.platform.PlatformInstance;
 import org.marigoldmill.server.Clock;
 import org.marigoldmill.server.Pause;
@@ -24,6 +28,10 @@
 import org.marigoldmill.server.deployment.UpstreamProtocol.Attempt;
 import org.marigoldmill.server.gateway.UpstreamPicker.Pick;
 import org.marigoldmill.server.gateway.UpstreamPicker.PickedUpstream;
+import org.marigoldmill.server.reachability.UpstreamPathMonitor;
+import org.marigoldmill.server.relay.RelayClient;
+import org.marigoldmill.server.relay.RelayOrder;
+import org.marigoldmill.server.relay.RelayProtocol;
 
 /** Forwards requests to upstreams, with retries where the route allows them. */
 public final class Forwarder {
@@ -50,6 +58,7 @@
    * @param urgency which requests go first at an upstream with a request limit
    * @param deadlineMs time on the monotonic clock until which the caller waits, in milliseconds
    * @param cancellation cancelled when the caller disconnects
+   * @param relay lets another instance carry the request; empty if none may
    */
   @SuppressWarnings("ArrayRecordComponent")
   public record Request(
@@ -64,7 +73,8 @@
       Optional<String> organisation,
       Urgency urgency,
       long deadlineMs,
-      Cancellation cancellation) {
+      Cancellation cancellation,
+      Optional<RelayOrder> relay) {
 
     /**
      * Returns an attempt at an upstream.
@@ -86,6 +96,28 @@
           resumeAfter,
           remainingMs);
     }
+
+    /**
+     * Returns the request as it is sent to another instance.
+     *
+     * @param attempts number of attempts that the other instance may make
+     * @param resumeAfter id of the event after which to resume a stream; empty to start anew
+     * @param progressTimeoutMs longest time without a byte, in milliseconds
+     */
+    RelayClient.Call relayCall(
+        int attempts, OptionalLong resumeAfter, long remainingMs, long progressTimeoutMs) {
+      return new RelayClient.Call(
+          relay.orElseThrow(),
+          method,
+          path,
+          body,
+          attempts,
+          resumeAfter,
+          remainingMs,
+          progressTimeoutMs,
+          !route.retryable(),
+          cancellation);
+    }
   }
 
   /**
@@ -112,6 +144,8 @@
   private final UpstreamTable upstreams;
   private final UpstreamSender sender;
   private final CrashDetector crashDetector;
+  private final UpstreamPathMonitor path;
+  private final RelayClient relay;
   private final Clock clock;
 
   /** Creates a forwarder. */
@@ -120,11 +154,15 @@
       UpstreamTable upstreams,
       UpstreamSender sender,
       CrashDetector crashes,
+      UpstreamPathMonitor path,
+      RelayClient relay,
       Clock clock) {
     this.picker = picker;
     this.upstreams = upstreams;
     this.sender = sender;
     this.crashDetector = crashes;
+    this.path = path;
+    this.relay = relay;
     this.clock = clock;
   }
 
@@ -137,6 +175,7 @@
   private final class AttemptLoop {
     private final Request request;
     private final Set<String> tried = new HashSet<>();
+    private final Set<String> triedPeers = new HashSet<>();
     private final AttemptTracker record;
     private String engine = "";
     private long retryAfterMs = RETRY_AFTER_MS;
@@ -183,6 +222,9 @@
         record.recordCancelled();
         return false;
       }
+      if (relay.isNeeded()) {
+        return sendThroughPeer(remainingMs);
+      }
       Pick pick = pickUpstream(remainingMs);
       if (pick.picked().isEmpty()) {
         recordNoUpstream(pick);
@@ -196,6 +238,57 @@
       return true;
     }
 
+    /** Lets another instance carry the request; returns whether it was sent. */
+    private boolean sendThroughPeer(long remainingMs) {
+      Optional<Peer> chosen =
+          request.relay().isPresent() ? relay.acquire(triedPeers) : Optional.empty();
+      if (chosen.isEmpty()) {
+        return false;
+      }
+      Peer peer = chosen.get();
+      triedPeers.add(peer.name());
+      engine = "via-" + peer.name();
+      int attempts = record.grantableAttempts();
+      long timeoutMs =
+          request.route().retryable()
+              ? Math.max(MIN_FIRST_ATTEMPT_MS, remainingMs * 3 / 4)
+              : remainingMs;
+      RelayClient.Call call =
+          request.relayCall(attempts, OptionalLong.empty(), remainingMs, timeoutMs);
+      record.recordSent(attempts);
+      try (HttpStream stream = relay.open(peer, call)) {
+        HttpResponse received = HttpClient.readAll(stream, peer.name());
+        evaluateRelayed(peer, relay.verdict(stream), received);
+      } catch (HttpCallException e) {
+        relay.recordLost(call, request.id(), peer, e);
+        recordLost(e);
+      }
+      return true;
+    }
+
+    private void evaluateRelayed(Peer peer, RelayProtocol.Verdict verdict, HttpResponse received) {
+      switch (verdict) {
+        case ANSWERED -> {
+          relay.recordAnswered(peer);
+          record.recordAnsweredElsewhere();
+          response =
+              Optional.of(
+                  new HttpResponse(
+                      received.status(),
+                      RelayProtocol.withoutRelayHeaders(received.headers()),
+                      received.body()));
+        }
+        case NOT_RUN -> {
+          relay.recordRefused(request.id(), peer);
+          record.recordNotRun();
+        }
+        default -> {
+          relay.recordAnswered(peer);
+          record.recordLost(received.status() == ErrorKind.UPSTREAM_SILENT.status());
+        }
+      }
+    }
+
     /** Prefers untried upstreams; once all have been tried, starts over after a delay. */
     private Pick pickUpstream(long remainingMs) {
       long maxWaitMs = LimitWait.maxMs(request.route(), remainingMs);
@@ -220,21 +313,44 @@
     }
 
     private void attempt(PickedUpstream picked, long remainingMs) {
-      Engine target = picked.engine();
-      PlatformInstance instance = picked.instance();
       record.recordSent();
-      Attempt attempt = request.attempt(target, OptionalLong.empty(), remainingMs);
+      Attempt attempt = request.attempt(picked.engine(), OptionalLong.empty(), remainingMs);
       long timeoutMs = request.route().retryable() ? attemptTimeoutMs(remainingMs) : remainingMs;
-      HttpCall untimed = sender.protocol().attemptCall(target.address(), attempt);
       HttpCall call =
-          untimed
+          sender
+              .protocol()
+              .attemptCall(picked.engine().address(), attempt)
               .timeouts(UpstreamSender.CONNECT_TIMEOUT_MS, timeoutMs, timeoutMs)
-              .freshConnection(!request.route().retryable())
-              .cancellation(request.cancellation());
+              .freshConnection(!request.route().retryable());
+      if (!request.route().retryable()) {
+        exchange(call.cancellation(request.cancellation()), attempt, picked, () -> false);
+        return;
+      }
+      try (UpstreamPathMonitor.Watched watched = path.watch(request.cancellation())) {
+        exchange(call.cancellation(watched.cancellation()), attempt, picked, watched::abandoned);
+      }
+    }
+
+    /**
+     * Sends an attempt and evaluates its response.
+     *
+     * @param abandoned whether the call was given up because no upstream is reached
+     */
+    private void exchange(
+        HttpCall call, Attempt attempt, PickedUpstream picked, BooleanSupplier abandoned) {
+      PlatformInstance instance = picked.instance();
+      Engine target = picked.engine();
       try {
         HttpResponse received = sender.exchange(call, attempt);
         evaluate(instance, received);
       } catch (HttpCallException e) {
+        if (abandoned.getAsBoolean()) {
+          upstreams.release(instance);
+          response = Optional.empty();
+          record.recordAbandoned();
+          logger.atInfo().log("attempt abandoned id=%s engine=%s", request.id(), engine);
+          return;
+        }
         upstreams.recordFailure(instance, clock.now());
         if (mayBeQuarantined()) {
           crashDetector.recordLostAttempt(request, target, e);
--- a/server/src/main/java/org/marigoldmill/server/gateway/Gateway.java
+++ b/server/src/main/java/org/marigoldmill/server/gateway/Gateway.java
@@ -12,6 +12,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.LongSupplier;
 import org.marigoldmill.core.error.ErrorKind;
 import org.marigoldmill.core.error.MarigoldmillException;
@@ -25,6 +26,8 @@
 import org.marigoldmill.server.deployment.CallerProtocol;
 import org.marigoldmill.server.deployment.DeploymentState;
 import org.marigoldmill.server.duty.UsageCounter;
+import org.marigoldmill.server.relay.RelayOrder;
+import org.marigoldmill.server.relay.RelayProtocol;
 
 /** Authenticates and routes callers' requests, and answers them. */
 public final class Gateway implements HttpHandler {
@@ -36,6 +39,9 @@
 
   private static final String NO_SERVICE = "";
 
+  /** Requests of other instances that are carried at the same time. */
+  private static final int MAX_CARRIED = 48;
+
   /** Time within which submissions are stored and read while the store answers. */
   private static final long SUBMISSION_LIMIT_MS = 2_500;
 
@@ -53,6 +59,7 @@
   private final Clock clock;
   private final Map<HttpServerExchange, Long> openRequests = new ConcurrentHashMap<>();
   private final DisconnectDetector disconnects;
+  private final AtomicInteger carriedRequests = new AtomicInteger();
   private volatile Optional<ServiceEnd> serviceEnd = Optional.empty();
 
   /**
@@ -132,12 +139,38 @@
 
   /** Refuses a request that arrives after the end of service. */
   public void refuse(HttpServerExchange exchange) {
+    refuse(exchange, ErrorKind.DRAINING, "shut");
+  }
+
+  private void refuse(HttpServerExchange exchange, ErrorKind kind, String reason) {
     receive(
         exchange,
         clock.now(),
         (body, id) -> {
-          throw MarigoldmillException.of(ErrorKind.DRAINING, "shut");
+          throw MarigoldmillException.of(kind, reason);
+        });
+  }
+
+  /** Carries a request of another instance, which reaches no upstream. */
+  public void handleCarried(HttpServerExchange exchange) {
+    RelayProtocol.markCarried(exchange);
+    int carried = carriedRequests.incrementAndGet();
+    exchange.addExchangeCompleteListener(
+        (done, next) -> {
+          carriedRequests.decrementAndGet();
+          next.proceed();
         });
+    if (carried > MAX_CARRIED) {
+      refuse(exchange, ErrorKind.OVERLOADED, "carries " + carried + " requests");
+    } else {
+      handleRequest(exchange);
+    }
+  }
+
+  /** Refuses a request of another instance after the end of service. */
+  public void refuseCarried(HttpServerExchange exchange) {
+    RelayProtocol.markCarried(exchange);
+    refuse(exchange);
   }
 
   /** Decides on the response to a request whose body has been read. */
@@ -192,11 +225,10 @@
       result = responder.respond(body, id);
     } catch (MarigoldmillException e) {
       long retryAfterMs = e.kind() == ErrorKind.DRAINING ? DRAINING_RETRY_AFTER_MS : RETRY_AFTER_MS;
-      result =
-          new Result(protocol.errorResponse(e.kind(), retryAfterMs), NO_SERVICE, e.getMessage());
+      result = Result.error(e.kind(), errorResponse(e.kind(), retryAfterMs), e.getMessage());
     } catch (RuntimeException e) {
       logger.atWarning().withCause(e).log("internal error id=%s", id);
-      result = new Result(protocol.errorResponse(ErrorKind.INTERNAL, 0), NO_SERVICE, e.toString());
+      result = Result.error(ErrorKind.INTERNAL, errorResponse(ErrorKind.INTERNAL, 0), e.toString());
     }
     long elapsedMs = clock.now() - arrivedAtMs;
     metrics.recordCall(
@@ -216,11 +248,42 @@
             "response not sent id=%s status=%d cause=connection closed draining=%s",
             id, result.response().status(), serviceEnd.isPresent());
       }
+      if (RelayProtocol.carried(exchange).isPresent()) {
+        RelayProtocol.setVerdict(exchange, result.verdict());
+      }
       send(exchange, result.response());
     }
   }
 
-  private record Result(HttpResponse response, String service, String detail) {}
+  /**
+   * The result of a request.
+   *
+   * @param error why there is no answer of an upstream, if there is none
+   */
+  private record Result(
+      HttpResponse response, String service, String detail, Optional<ErrorKind> error) {
+    private static Result answer(HttpResponse response, String service, String detail) {
+      return new Result(response, service, detail, Optional.empty());
+    }
+
+    private static Result error(ErrorKind kind, HttpResponse response, String detail) {
+      return new Result(response, NO_SERVICE, detail, Optional.of(kind));
+    }
+
+    private RelayProtocol.Verdict verdict() {
+      return error
+          .map(
+              k ->
+                  k.execution() == ErrorKind.Execution.NOT_RUN
+                      ? RelayProtocol.Verdict.NOT_RUN
+                      : RelayProtocol.Verdict.MAYBE_RUN)
+          .orElse(RelayProtocol.Verdict.ANSWERED);
+    }
+  }
+
+  private HttpResponse errorResponse(ErrorKind kind, long retryAfterMs) {
+    return protocol.errorResponse(kind, retryAfterMs);
+  }
 
   /** Returns the kind of a refusal by the configuration that was in force just before. */
   private ErrorKind unlessOutdated(ErrorKind kind) {
@@ -262,6 +325,7 @@
 
   private Result route(HttpServerExchange exchange, byte[] body, long arrivedAtMs, String id) {
     KnownConfig known = knownConfig();
+    requireSameConfig(known, exchange);
     Optional<CallerProtocol.SubmissionQuery> question = protocol.submissionQuery(exchange);
     if (question.isPresent()) {
       String organisation = organisation(known, exchange);
@@ -270,7 +334,7 @@
           submissions
               .respond(question.get(), organisation)
               .orElseThrow(() -> known.refusal(ErrorKind.NOT_FOUND, "no such submission or item"));
-      return new Result(response, "submissions", question.get().toString());
+      return Result.answer(response, "submissions", question.get().toString());
     }
     String host = host(exchange);
     String path = exchange.getRequestURI();
@@ -288,7 +352,7 @@
       requireTimeUntil(arrivedAtMs + SUBMISSION_LIMIT_MS);
       return submit(exchange, body, id, route, host, organisation.orElse(""));
     }
-    return forward(exchange, body, arrivedAtMs, id, route, host, organisation);
+    return forward(exchange, body, arrivedAtMs, id, route, known.config(), organisation);
   }
 
   /**
@@ -302,6 +366,19 @@
     }
   }
 
+  /** An older or newer configuration than that of the other instance might route differently. */
+  private static void requireSameConfig(KnownConfig known, HttpServerExchange exchange) {
+    long version = known.config().version();
+    RelayProtocol.carried(exchange)
+        .filter(c -> c.configVersion() != version)
+        .ifPresent(
+            c -> {
+              throw MarigoldmillException.of(
+                  ErrorKind.KNOWLEDGE_STALE,
+                  "expected version " + c.configVersion() + " but have " + version);
+            });
+  }
+
   private Result submit(
       HttpServerExchange exchange,
       byte[] body,
@@ -315,7 +392,7 @@
     }
     CallerProtocol.ParsedSubmission submitted =
         protocol.parseSubmission(id, organisation, host, exchange.getRequestURI(), route, body);
-    return new Result(submissions.accept(submitted), "submissions", "submit");
+    return Result.answer(submissions.accept(submitted), "submissions", "submit");
   }
 
   private Result forward(
@@ -323,9 +400,11 @@
       byte[] body,
       long arrivedAtMs,
       String id,
-      Route route,
-      String host,
+      Route matched,
+      DeploymentConfig config,
       Optional<String> organisation) {
+    Optional<RelayProtocol.Carried> carried = RelayProtocol.carried(exchange);
+    Route route = carried.map(c -> matched.withMaxAttempts(c.attempts())).orElse(matched);
     long timeoutMs =
         Math.min(route.timeoutMs(), protocol.deadlineMs(exchange).orElse(route.timeoutMs()));
     requireTimeUntil(arrivedAtMs + timeoutMs);
@@ -337,15 +416,22 @@
             id,
             route,
             service,
-            host,
+            host(exchange),
             exchange.getRequestMethod().toString(),
             path,
-            protocol.forwardedHeaders(exchange),
+            RelayProtocol.withoutRelayHeaders(protocol.forwardedHeaders(exchange)),
             body,
             organisation,
             Urgency.CALL,
             arrivedAtMs + timeoutMs,
-            disconnects.watch(exchange));
+            disconnects.watch(exchange),
+            carried.isPresent()
+                ? Optional.empty()
+                : Optional.of(
+                    new RelayOrder(
+                        config.version(),
+                        (remainingMs, resumeAfter) ->
+                            protocol.relayedHeaders(exchange, remainingMs, resumeAfter))));
     if (route.streaming()) {
       return forwardStream(exchange, request);
     }
@@ -366,8 +452,9 @@
             .response()
             .map(a -> new HttpResponse(a.status(), protocol.returnedHeaders(a.headers()), a.body()))
             .orElseGet(() -> protocol.errorResponse(outcome.kind(), outcome.retryAfterMs()));
-    return new Result(
-        response, service, outcome.response().isPresent() ? detail : "refused " + detail);
+    return outcome.response().isPresent()
+        ? Result.answer(response, service, detail)
+        : new Result(response, service, "refused " + detail, Optional.of(outcome.kind()));
   }
 
   private Result forwardStream(HttpServerExchange exchange, Forwarder.Request request) {
@@ -382,11 +469,12 @@
     }
     String detail = "stream " + outcome;
     return outcome.begun()
-        ? new Result(new HttpResponse(200, List.of(), new byte[0]), request.service(), detail)
+        ? Result.answer(new HttpResponse(200, List.of(), new byte[0]), request.service(), detail)
         : new Result(
             protocol.errorResponse(outcome.kind(), outcome.retryAfterMs()),
             request.service(),
-            detail);
+            detail,
+            Optional.of(outcome.kind()));
   }
 
   private String organisation(KnownConfig known, HttpServerExchange exchange) {
--- a/server/src/main/java/org/marigoldmill/server/gateway/StreamForwarder.java
+++ b/server/src/main/java/org/marigoldmill/server/gateway/StreamForwarder.java
@@ -15,6 +15,7 @@
 import org.marigoldmill.core.error.ErrorKind;
 import org.marigoldmill.core.limit.LimitWait;
 import org.marigoldmill.core.placement.Engine;
+import org.marigoldmill.core.relay.RelayPeers.Peer;
 import org.marigoldmill.core.routing.UpstreamTable;
 import org.marigoldmill.core.submission.EventSplitter;
 import org.marigoldmill.core.submission.StallDetector;
@@ -28,6 +29,9 @@
 import org.marigoldmill.server.deployment.UpstreamProtocol.Attempt;
 import org.marigoldmill.server.gateway.UpstreamPicker.Pick;
 import org.marigoldmill.server.gateway.UpstreamPicker.PickedUpstream;
+import org.marigoldmill.server.reachability.UpstreamPathMonitor;
+import org.marigoldmill.server.relay.RelayClient;
+import org.marigoldmill.server.relay.RelayProtocol;
 import org.xnio.IoUtils;
 
 /**
@@ -43,6 +47,9 @@
   /** Callers abandon a stream after a gap of 2 s, so it must be resumed sooner. */
   private static final long IDLE_TIMEOUT_MS = 1_000;
 
+  /** Longer, so that the carrying instance can resume the stream at another engine first. */
+  private static final long RELAYED_IDLE_TIMEOUT_MS = 1_600;
+
   /** Bytes that complete no event count as a gap for callers too. */
   private static final long MAX_EVENT_GAP_MS = 1_500;
 
@@ -70,6 +77,8 @@
   private final UpstreamTable upstreams;
   private final UpstreamSender sender;
   private final StreamOrigins origins;
+  private final UpstreamPathMonitor path;
+  private final RelayClient relay;
   private final CallerProtocol protocol;
   private final Clock clock;
 
@@ -86,12 +95,16 @@
       UpstreamTable upstreams,
       UpstreamSender sender,
       StreamOrigins origins,
+      UpstreamPathMonitor path,
+      RelayClient relay,
       CallerProtocol protocol,
       Clock clock) {
     this.picker = picker;
     this.upstreams = upstreams;
     this.sender = sender;
     this.origins = origins;
+    this.path = path;
+    this.relay = relay;
     this.protocol = protocol;
     this.clock = clock;
   }
@@ -105,15 +118,19 @@
       Forwarder.Request request,
       Optional<CallerProtocol.ResumedStream> resumed,
       HttpServerExchange exchange) {
+    boolean relayOnly = resumed.isPresent() && relay.isNeeded();
     Optional<StreamOrigins.Begin> begin =
-        resumed.map(r -> origins.begin(request.service(), r.firstRequest()));
+        resumed
+            .filter(r -> !relayOnly)
+            .map(r -> origins.begin(request.service(), r.firstRequest()));
     if (begin.filter(b -> b.origin() == StreamOrigins.Origin.UNKNOWN).isPresent()) {
       logger.atInfo().log("stream origin unknown id=%s resumed=%s", request.id(), resumed);
       return new Outcome(
           false, false, false, ErrorKind.KNOWLEDGE_STALE, "", Forwarder.RETRY_AFTER_MS);
     }
     exchange.startBlocking();
-    return new AttemptLoop(request, begin.flatMap(StreamOrigins.Begin::softwareVersion), exchange)
+    return new AttemptLoop(
+            request, begin.flatMap(StreamOrigins.Begin::softwareVersion), relayOnly, exchange)
         .run();
   }
 
@@ -121,9 +138,11 @@
   private final class AttemptLoop {
     private final Forwarder.Request request;
     private final HttpServerExchange exchange;
+    private final boolean relayOnly;
     private Optional<String> softwareVersion;
     private boolean onlyUnrecorded;
     private final Set<String> tried = new HashSet<>();
+    private final Set<String> triedPeers = new HashSet<>();
     private OptionalLong lastEvent = OptionalLong.empty();
     private final AttemptTracker record;
     private String engine = "";
@@ -135,10 +154,15 @@
      * Creates the loop.
      *
      * @param softwareVersion version of the engines that may continue the stream; empty to begin it
+     * @param relayOnly whether this instance does not know which engines may continue the stream
      */
     private AttemptLoop(
-        Forwarder.Request request, Optional<String> softwareVersion, HttpServerExchange exchange) {
+        Forwarder.Request request,
+        Optional<String> softwareVersion,
+        boolean relayOnly,
+        HttpServerExchange exchange) {
       this.request = request;
+      this.relayOnly = relayOnly;
       this.softwareVersion = softwareVersion;
       this.exchange = exchange;
       this.record = new AttemptTracker(request.route().retryable(), request.route().maxAttempts());
@@ -166,6 +190,9 @@
         record.recordCancelled();
         return false;
       }
+      if (relayOnly || relay.isNeeded()) {
+        return sendThroughPeer(remainingMs);
+      }
       Pick pick = pickEngine(remainingMs);
       if (pick.picked().isEmpty()) {
         recordNoEngine(pick);
@@ -192,6 +219,53 @@
       }
     }
 
+    /** Lets another instance carry the stream; returns whether another attempt may follow. */
+    private boolean sendThroughPeer(long remainingMs) {
+      Optional<Peer> chosen =
+          request.relay().isPresent() ? relay.acquire(triedPeers) : Optional.empty();
+      if (chosen.isEmpty()) {
+        return false;
+      }
+      Peer peer = chosen.get();
+      triedPeers.add(peer.name());
+      engine = "via-" + peer.name();
+      int attempts = record.grantableAttempts();
+      RelayClient.Call call =
+          request.relayCall(attempts, lastEvent, remainingMs, RELAYED_IDLE_TIMEOUT_MS);
+      record.recordSent(attempts);
+      try (HttpStream stream = relay.open(peer, call)) {
+        relayFromPeer(peer, stream);
+        return true;
+      } catch (HttpCallException e) {
+        relay.recordLost(call, request.id(), peer, e);
+        return recordBreak(e);
+      } catch (IOException e) {
+        relay.release(peer);
+        record.recordLost(false);
+        logger.atInfo().log("caller disconnected id=%s cause=%s", request.id(), e.getMessage());
+        return false;
+      }
+    }
+
+    private void relayFromPeer(Peer peer, HttpStream stream) throws IOException {
+      RelayProtocol.Verdict verdict = relay.verdict(stream);
+      if (verdict == RelayProtocol.Verdict.NOT_RUN) {
+        relay.recordRefused(request.id(), peer);
+        record.recordNotRun();
+        return;
+      }
+      if (verdict == RelayProtocol.Verdict.MAYBE_RUN || stream.status() != 200) {
+        relay.recordAnswered(peer);
+        record.recordLost(false);
+        return;
+      }
+      startResponse(stream);
+      relay(stream);
+      whole = true;
+      relay.recordAnswered(peer);
+      record.recordAnsweredElsewhere();
+    }
+
     private Pick pickEngine(long remainingMs) {
       long maxWaitMs = LimitWait.maxMs(request.route(), remainingMs);
       Pick pick =
@@ -232,8 +306,17 @@
                   UpstreamSender.CONNECT_TIMEOUT_MS,
                   Math.min(remainingMs, IDLE_TIMEOUT_MS),
                   remainingMs)
-              .freshConnection(!request.route().retryable())
-              .cancellation(request.cancellation());
+              .freshConnection(!request.route().retryable());
+      if (!request.route().retryable()) {
+        receive(call.cancellation(request.cancellation()), attempt, target);
+        return;
+      }
+      try (UpstreamPathMonitor.Watched watched = path.watch(request.cancellation())) {
+        receive(call.cancellation(watched.cancellation()), attempt, target);
+      }
+    }
+
+    private void receive(HttpCall call, Attempt attempt, Engine target) throws IOException {
       try (HttpStream stream = sender.open(call, attempt)) {
         if (sender.protocol().notRun(stream.status(), stream.headers())) {
           record.recordNotRun();
@@ -275,8 +358,7 @@
       }
       begun = true;
       exchange.setStatusCode(stream.status());
-      protocol
-          .returnedHeaders(stream.headers())
+      RelayProtocol.withoutRelayHeaders(protocol.returnedHeaders(stream.headers()))
           .forEach(h -> exchange.getResponseHeaders().add(new HttpString(h.name()), h.value()));
       // On a connection that closes after the response, Undertow would let the close mark its end,
       // and a stream that is cut would look complete.
--- a/server/src/main/java/org/marigoldmill/server/reachability/UpstreamPathMonitor.java
+++ b/server/src/main/java/org/marigoldmill/server/reachability/UpstreamPathMonitor.java
@@ -4,10 +4,12 @@
 import java.net.InetSocketAddress;
 import java.util.List;
 import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.random.RandomGenerator;
 import org.marigoldmill.core.reachability.UpstreamReachability;
 import org.marigoldmill.core.reachability.UpstreamReachability.Path;
 import org.marigoldmill.http.Addresses;
+import org.marigoldmill.http.Cancellation;
 import org.marigoldmill.http.ConnectionObserver;
 import org.marigoldmill.http.HttpClient;
 import org.marigoldmill.server.Clock;
@@ -26,10 +28,14 @@
   private static final long IDLE_INTERVAL_MS = 1_000;
   private static final long PROBE_TIMEOUT_MS = 150;
 
+  /** Silence of all upstreams after which calls are not waited for once the path is lost. */
+  private static final long ABANDON_AFTER_MS = 250;
+
   private final EngineRegistry registry;
   private final UpstreamReachability reachability;
   private final RandomGenerator random;
   private final Clock clock;
+  private final Set<Watched> watched = ConcurrentHashMap.newKeySet();
   private final Object wakeUp = new Object();
   private boolean woken;
   private Path loggedPath = Path.OPEN;
@@ -48,6 +54,47 @@
     return reachability.path(clock.now()) == Path.LOST;
   }
 
+  /** A call in progress that is given up when the path is lost and nothing is heard any more. */
+  public final class Watched implements AutoCloseable {
+    private final Cancellation cancellation;
+    private volatile boolean abandoned;
+
+    private Watched(Cancellation cancellation) {
+      this.cancellation = cancellation;
+    }
+
+    /** Returns the cancellation to use for the call. */
+    public Cancellation cancellation() {
+      return cancellation;
+    }
+
+    /** Returns whether the call was given up because no upstream is reached. */
+    public boolean abandoned() {
+      return abandoned;
+    }
+
+    @Override
+    public void close() {
+      watched.remove(this);
+    }
+
+    private void abandon() {
+      abandoned = true;
+      cancellation.cancel();
+    }
+  }
+
+  /**
+   * Watches a call that may be repeated elsewhere, until the result is closed.
+   *
+   * @param caller cancellation of the request to which the call belongs
+   */
+  public Watched watch(Cancellation caller) {
+    Watched call = new Watched(caller.child());
+    watched.add(call);
+    return call;
+  }
+
   /**
    * Probes upstreams if that is due, and then waits until it may be due again; meant to be called
    * in a loop.
@@ -60,6 +107,7 @@
       client.probe(due.stream().map(Addresses::parse).toList(), PROBE_TIMEOUT_MS);
     }
     logChange();
+    abandonSilentCalls();
     await();
   }
 
@@ -125,6 +173,14 @@
     loggedPath = path;
   }
 
+  /** Connections that were open before new ones failed may live on. */
+  private void abandonSilentCalls() {
+    long nowMs = clock.now();
+    if (isLost() && reachability.quietMs(nowMs) >= ABANDON_AFTER_MS) {
+      watched.forEach(Watched::abandon);
+    }
+  }
+
   private void wake() {
     synchronized (wakeUp) {
       woken = true;
