A lost path to the upstreams is not the crash of one

What callers saw: a sound request, in progress when the instance that ran it was cut off, was refused by every instance for ten minutes. Cause: an upstream counted as crashed when it had closed the connection in mid-request and refused a new one. To an instance that is cut off all upstreams look so; two of them in one cut put the request into quarantine, and the suspicion is published to all. Same class as the callers' fault: one upstream is judged by itself. Change: the crash counts only while another upstream accepts a connection. It costs up to two connections for each suspected crash. Evidence: CutOffInstanceIT$Requests, 503 at an instance that was never cut before, 200 after.

--- a/cli/src/test/java/org/marigoldmill/cli/deployment/CutOffInstanceIT.java
+++ b/cli/src/test/java/org/marigoldmill/cli/deployment/CutOffInstanceIT.java
@@ -4,6 +4,9 @@
 
 import java.util.Collections;
 import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
 import java.util.stream.IntStream;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -11,6 +14,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
+import org.marigoldmill.cli.process.ProcessCluster;
 import org.marigoldmill.cli.process.UpstreamPaths;
 import org.marigoldmill.cli.process.UpstreamPaths.Cut;
 import org.marigoldmill.http.HttpCall.Header;
@@ -26,6 +30,10 @@
   /** Time that callers wait for an answer, as the shortest on the users' sheets. */
   private static final String DEADLINE_MS = "800";
 
+  /** Longer than the probe of an upstream that may have crashed. */
+  private static final long CRASH_PROBE_MS = 1_500;
+
+  private final ExecutorService callers = Executors.newCachedThreadPool();
   private DeploymentCluster cluster;
   private UpstreamPaths paths;
   private EngineStandin other;
@@ -46,6 +54,7 @@
 
   @AfterEach
   void stop() {
+    callers.shutdownNow();
     other.close();
     cluster.close();
     paths.close();
@@ -67,6 +76,35 @@
         .sum();
   }
 
+  @Nested
+  class Requests {
+    /**
+     * Sound requests in progress at two upstreams were quarantined when their instance was cut off.
+     */
+    @Test
+    void should_not_be_suspected_of_crashing_upstreams() {
+      // GIVEN
+      List<CompletableFuture<HttpResponse>> inProgress =
+          IntStream.range(0, CALLS)
+              .mapToObj(
+                  i ->
+                      CompletableFuture.supplyAsync(
+                          () -> cluster.sendWith(CUT_OFF, "/app/echo/1000", "running-" + i),
+                          callers))
+              .toList();
+      DeploymentCluster.await(
+          () -> !cluster.plain.startedRequests().isEmpty() && other.startedRequests().size() > 1);
+      // WHEN
+      paths.cut(Cut.REFUSE);
+      inProgress.forEach(CompletableFuture::join);
+      ProcessCluster.pause(CRASH_PROBE_MS);
+      // THEN
+      assertThat(cluster.sendWith(0, "/app/echo/1000", "later").status()).isEqualTo(200);
+      assertThat(cluster.instances.get(CUT_OFF).process().output())
+          .doesNotContain("upstream crashed while running a request");
+    }
+  }
+
   @Nested
   class Callers {
     @ParameterizedTest
--- a/http/src/main/java/org/marigoldmill/http/HttpClient.java
+++ b/http/src/main/java/org/marigoldmill/http/HttpClient.java
@@ -252,20 +252,24 @@
    * <p>The observer is told of each outcome; connections that are established join the pool.
    *
    * @param timeoutMs longest time for all of them together, in milliseconds
+   * @return number of connections that were established
    */
-  public void probe(Collection<InetSocketAddress> addresses, long timeoutMs) {
+  public int probe(Collection<InetSocketAddress> addresses, long timeoutMs) {
     long startMs = nowMs();
     Map<InetSocketAddress, IoFuture<ClientConnection>> connecting = new HashMap<>();
     addresses.forEach(a -> connecting.put(a, startConnecting(a)));
-    connecting.forEach(
-        (address, future) -> {
-          future.await(Math.max(1, startMs + timeoutMs - nowMs()), TimeUnit.MILLISECONDS);
-          try {
-            release(address, established(address, future, startMs), OptionalLong.empty());
-          } catch (HttpCallException e) {
-            logger.atFine().log("upstream not reached address=%s cause=%s", address, e);
-          }
-        });
+    int established = 0;
+    for (Map.Entry<InetSocketAddress, IoFuture<ClientConnection>> each : connecting.entrySet()) {
+      InetSocketAddress address = each.getKey();
+      each.getValue().await(Math.max(1, startMs + timeoutMs - nowMs()), TimeUnit.MILLISECONDS);
+      try {
+        release(address, established(address, each.getValue(), startMs), OptionalLong.empty());
+        established++;
+      } catch (HttpCallException e) {
+        logger.atFine().log("upstream not reached address=%s cause=%s", address, e);
+      }
+    }
+    return established;
   }
 
   /** Returns whether this client has been closed. */
--- a/server/src/main/java/org/marigoldmill/server/DeploymentInstance.java
+++ b/server/src/main/java/org/marigoldmill/server/DeploymentInstance.java
@@ -186,7 +186,8 @@
         new AnswerObserver(ports.upstreams(), engines, upstreams, limits, clock);
     UpstreamSender sender = new UpstreamSender(client, ports.upstreams(), answers);
     CrashDetector crashDetector =
-        new CrashDetector(suspects, client, crashes, pool("crashes", MAX_PROBE_THREADS), clock);
+        new CrashDetector(
+            suspects, client, crashes, pathMonitor, pool("crashes", MAX_PROBE_THREADS), clock);
     this.origins = new StreamOrigins(store, engines, settings.getPartitions(), clock);
     UpstreamPicker picker =
         new UpstreamPicker(engines, upstreams, limits, settings.getZone(), clock);
--- a/server/src/main/java/org/marigoldmill/server/gateway/CrashDetector.java
+++ b/server/src/main/java/org/marigoldmill/server/gateway/CrashDetector.java
@@ -11,12 +11,14 @@
 import org.marigoldmill.server.Clock;
 import org.marigoldmill.server.Pause;
 import org.marigoldmill.server.duty.CrashLog;
+import org.marigoldmill.server.reachability.UpstreamPathMonitor;
 
 /**
  * Detects requests that crash the upstreams that run them, and informs the other instances.
  *
- * <p>An upstream counts as crashed if it closed a connection in mid-request and refuses a new one.
- * The probe runs asynchronously, so that an ordinary disconnect does not delay the request.
+ * <p>An upstream counts as crashed if it closed a connection in mid-request and refuses a new one,
+ * while another upstream accepts one. The probe runs asynchronously, so that an ordinary disconnect
+ * does not delay the request.
  */
 public final class CrashDetector {
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
@@ -27,19 +29,27 @@
   private final SuspectTable suspects;
   private final HttpClient client;
   private final CrashLog crashes;
+  private final UpstreamPathMonitor path;
   private final Executor executor;
   private final Clock clock;
 
   /**
    * Creates a detector.
    *
+   * @param path tells whether this instance reaches other upstreams
    * @param executor runs the probes
    */
   public CrashDetector(
-      SuspectTable suspects, HttpClient client, CrashLog crashes, Executor executor, Clock clock) {
+      SuspectTable suspects,
+      HttpClient client,
+      CrashLog crashes,
+      UpstreamPathMonitor path,
+      Executor executor,
+      Clock clock) {
     this.suspects = suspects;
     this.client = client;
     this.crashes = crashes;
+    this.path = path;
     this.executor = executor;
     this.clock = clock;
   }
@@ -69,13 +79,20 @@
   }
 
   private void probe(Forwarder.Request request, Engine engine) {
-    if (Pause.millis(PROBE_DELAY_MS) && !client.canConnect(engine.address())) {
-      boolean quarantined = suspects.recordCrash(fingerprint(request), engine.id(), clock.now());
+    if (!Pause.millis(PROBE_DELAY_MS) || client.canConnect(engine.address())) {
+      return;
+    }
+    if (!path.reachesOthers(engine.address(), client)) {
       logger.atInfo().log(
-          "upstream crashed while running a request id=%s engine=%s quarantined=%s",
-          request.id(), engine.id(), quarantined);
-      crashes.publishCrash(fingerprint(request), engine.id());
+          "upstream not suspected of a crash id=%s engine=%s cause=no other one is reached",
+          request.id(), engine.id());
+      return;
     }
+    boolean quarantined = suspects.recordCrash(fingerprint(request), engine.id(), clock.now());
+    logger.atInfo().log(
+        "upstream crashed while running a request id=%s engine=%s quarantined=%s",
+        request.id(), engine.id(), quarantined);
+    crashes.publishCrash(fingerprint(request), engine.id());
   }
 
   private static String fingerprint(Forwarder.Request request) {
--- a/server/src/main/java/org/marigoldmill/server/reachability/UpstreamPathMonitor.java
+++ b/server/src/main/java/org/marigoldmill/server/reachability/UpstreamPathMonitor.java
@@ -28,6 +28,9 @@
   private static final long IDLE_INTERVAL_MS = 1_000;
   private static final long PROBE_TIMEOUT_MS = 150;
 
+  private static final int OTHERS_SAMPLED = 8;
+  private static final int OTHERS_PROBED = 2;
+
   /** Silence of all upstreams after which calls are not waited for once the path is lost. */
   private static final long ABANDON_AFTER_MS = 250;
 
@@ -54,6 +57,25 @@
     return reachability.path(clock.now()) == Path.LOST;
   }
 
+  /**
+   * Returns whether another upstream than a failed one is reached now, so that the failure is not
+   * this instance's; also true if no other one is known.
+   *
+   * @param failed address of the failed upstream
+   */
+  public boolean reachesOthers(String failed, HttpClient client) {
+    List<String> addresses = registry.addresses();
+    List<InetSocketAddress> others =
+        random
+            .ints(OTHERS_SAMPLED, 0, Math.max(1, addresses.size()))
+            .filter(i -> i < addresses.size() && !addresses.get(i).equals(failed))
+            .distinct()
+            .limit(OTHERS_PROBED)
+            .mapToObj(i -> Addresses.parse(addresses.get(i)))
+            .toList();
+    return others.isEmpty() || client.probe(others, PROBE_TIMEOUT_MS) > 0;
+  }
+
   /** A call in progress that is given up when the path is lost and nothing is heard any more. */
   public final class Watched implements AutoCloseable {
     private final Cancellation cancellation;
