An instance that reaches no upstream hands its items and duties over

What trainers saw: items of a model whose owner was cut off were not generated until the cut ended. Cause: ownership of models and the duty lease follow the path to the store, which a cut from the upstreams leaves whole. The lease returns to an earlier holder no sooner than after the turn guard.

--- a/cli/src/test/java/org/marigoldmill/cli/deployment/CutOffInstanceIT.java
+++ b/cli/src/test/java/org/marigoldmill/cli/deployment/CutOffInstanceIT.java
@@ -25,6 +25,12 @@
   /** Third instance of the cluster; its paths to upstreams can be cut. */
   private static final int CUT_OFF = 2;
 
+  /** Second of the members of the group in order of their names. */
+  private static final String INSTANCE = "one-cut-off";
+
+  /** Partition of the model, which the stand-in of the store assigns to the second member. */
+  private static final String MODEL_PARTITION = "1";
+
   private static final int CALLS = 12;
 
   /** Time that callers wait for an answer, as the shortest on the users' sheets. */
@@ -44,7 +50,7 @@
     other = new EngineStandin("p-2", "", 0, 0);
     cluster.store.put("servers", "p-2", other.entry("app"));
     paths = new UpstreamPaths();
-    cluster.startInstancesAt(cluster.store.addressWithUpstreamsAt(paths::through), "cut-off");
+    cluster.startInstancesAt(cluster.store.addressWithUpstreamsAt(paths::through), INSTANCE);
     for (int i = 0; i < 3; i++) {
       int instance = i;
       DeploymentCluster.await(
@@ -105,6 +111,30 @@
     }
   }
 
+  @Nested
+  class Submissions {
+    /** Items of a model were never generated while the instance that owned it was cut off. */
+    @ParameterizedTest
+    @EnumSource(Cut.class)
+    void should_be_completed_when_the_instance_that_owns_their_model_is_cut_off(Cut how) {
+      // GIVEN
+      DeploymentCluster.await(() -> heldPartitions(CUT_OFF).contains(MODEL_PARTITION));
+      paths.cut(how);
+      // WHEN
+      cluster.post(CUT_OFF, "/batch/s1", "s1", DeploymentCluster.submission());
+      // THEN
+      DeploymentCluster.await(
+          () -> cluster.results(CUT_OFF, "s1", 0).get("next").asInt() == DeploymentCluster.ITEMS);
+    }
+
+    private List<String> heldPartitions(int instance) {
+      String log = cluster.instances.get(instance).process().output();
+      int last = log.lastIndexOf("partitions held");
+      String now = last < 0 ? "[]" : log.substring(log.indexOf("now=", last));
+      return List.of(now.substring(now.indexOf('[') + 1, now.indexOf(']')).split(", ", -1));
+    }
+  }
+
   @Nested
   class Callers {
     @ParameterizedTest
--- a/core/src/main/java/org/marigoldmill/core/lease/LeaseElector.java
+++ b/core/src/main/java/org/marigoldmill/core/lease/LeaseElector.java
@@ -104,6 +104,11 @@
     return Optional.of(lease).filter(l -> l.getHolder().equals(holder) && !l.getReleased());
   }
 
+  /** Claims again after {@link #resign}. */
+  public synchronized void resume() {
+    resigned = false;
+  }
+
   /**
    * Returns the time for which this process certainly holds the lease, in milliseconds; 0 or less
    * if it does not.
--- a/server/src/main/java/org/marigoldmill/server/DeploymentInstance.java
+++ b/server/src/main/java/org/marigoldmill/server/DeploymentInstance.java
@@ -73,6 +73,7 @@
   private static final long LIMIT_REPORT_INTERVAL_MS = 250;
   private static final long ORIGINS_INTERVAL_MS = 1_000;
   private static final long DIRECTORY_INTERVAL_MS = 250;
+  private static final long HANDOVER_INTERVAL_MS = 200;
 
   /** Without the store an instance cannot accept submissions, so it reports itself not ready. */
   private static final long MAX_STORE_OUTAGE_MS = 800;
@@ -208,10 +209,12 @@
             limits,
             fleet,
             pool("items", MAX_ITEM_THREADS),
+            pathMonitor::isLost,
             metrics,
             settings.getZone(),
             clock);
-    this.duties = new DutyCandidacy(membership, lease, rollouts, partitions);
+    this.duties =
+        new DutyCandidacy(membership, lease, rollouts, partitions, pathMonitor, peers, clock);
     UsageCounter usage = new UsageCounter(settings.getUsageWindowMs(), System::currentTimeMillis);
     SubmissionService submissions =
         new SubmissionService(
@@ -440,6 +443,14 @@
       UsageCounter usage, LoadQueue loads, HttpClient client, AnswerObserver answers) {
     startTask(settings.getGroupTtlMs() / 3, "membership", membership::joinOrRenew);
     startTask(duties::intervalMs, "lease", duties::claimLeaseIfDue);
+    startTask(
+        HANDOVER_INTERVAL_MS,
+        "handover",
+        () -> {
+          if (!draining.get()) {
+            duties.handOverIfDue();
+          }
+        });
     startTask(0, "rollouts", rollouts::scheduleOnce);
     WeightOrderDispatcher orderDispatcher =
         new WeightOrderDispatcher(
--- a/server/src/main/java/org/marigoldmill/server/DutyCandidacy.java
+++ b/server/src/main/java/org/marigoldmill/server/DutyCandidacy.java
@@ -1,9 +1,13 @@
 package org.marigoldmill.server;
 
+import com.google.common.flogger.FluentLogger;
+import org.marigoldmill.core.reachability.DutyHandover;
+import org.marigoldmill.core.relay.RelayPeers;
 import org.marigoldmill.server.batch.RolloutMembership;
 import org.marigoldmill.server.batch.Rollouts;
 import org.marigoldmill.server.batch.SubmissionPartitions;
 import org.marigoldmill.server.duty.DutyLeaseHolder;
+import org.marigoldmill.server.reachability.UpstreamPathMonitor;
 import org.marigoldmill.server.store.PartitionFollower;
 
 /**
@@ -11,9 +15,11 @@
  *
  * <p>Only holders of partitions are candidates for the duty lease and for models. The partitions
  * limit their number, so that what all instances together read of the shared logs does not grow
- * with the number of instances times records.
+ * with the number of instances times records. An instance that reaches no upstream hands its duties
+ * over while another one does.
  */
 final class DutyCandidacy {
+  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
   private static final long INTERVAL_MS = 50;
   private static final long IDLE_INTERVAL_MS = 500;
   private static final long USAGE_INTERVAL_MS = 100;
@@ -26,16 +32,45 @@
   private final DutyLeaseHolder lease;
   private final Rollouts rollouts;
   private final SubmissionPartitions partitions;
+  private final UpstreamPathMonitor path;
+  private final RelayPeers peers;
+  private final DutyHandover handover;
+  private final Clock clock;
+  private boolean resting;
 
   DutyCandidacy(
       RolloutMembership membership,
       DutyLeaseHolder lease,
       Rollouts rollouts,
-      SubmissionPartitions partitions) {
+      SubmissionPartitions partitions,
+      UpstreamPathMonitor path,
+      RelayPeers peers,
+      Clock clock) {
     this.membership = membership;
     this.lease = lease;
     this.rollouts = rollouts;
     this.partitions = partitions;
+    this.path = path;
+    this.peers = peers;
+    this.handover = new DutyHandover(clock.now());
+    this.clock = clock;
+  }
+
+  /** Hands duties over, or stands for them again, if that is due; to be called periodically. */
+  void handOverIfDue() {
+    boolean rest = !handover.mayHold(path.isLost(), peers.anyReachesUpstreams(), clock.now());
+    if (rest == resting) {
+      return;
+    }
+    resting = rest;
+    logger.atInfo().log("duties handed over=%s upstreams_lost=%s", rest, path.isLost());
+    if (rest) {
+      membership.rest();
+      lease.release();
+    } else {
+      membership.resume();
+      lease.resume();
+    }
   }
 
   /** Reads a shared log while this instance is a candidate, else waits until it may be one. */
--- a/server/src/main/java/org/marigoldmill/server/batch/RolloutMembership.java
+++ b/server/src/main/java/org/marigoldmill/server/batch/RolloutMembership.java
@@ -24,6 +24,7 @@
   private final SubmissionPartitions partitions;
   private volatile Set<Integer> ownedPartitions = Set.of();
   private volatile boolean left;
+  private boolean resting;
   private long generation;
 
   /**
@@ -41,8 +42,8 @@
   }
 
   /** Joins the group or renews the membership; meant to be called periodically. */
-  public void joinOrRenew() {
-    if (left) {
+  public synchronized void joinOrRenew() {
+    if (left || resting) {
       return;
     }
     try {
@@ -62,6 +63,19 @@
     store.leave(GROUP, member);
   }
 
+  /** Gives up all partitions and leaves the group until {@link #resume}. */
+  public synchronized void rest() {
+    resting = true;
+    updateOwnedPartitions(List.of());
+    store.leave(GROUP, member);
+  }
+
+  /** Joins the group again with the next round. */
+  public synchronized void resume() {
+    resting = false;
+    generation = 0;
+  }
+
   /** Returns whether this instance runs the items of a model. */
   public boolean ownsModel(String model) {
     return ownedPartitions.contains(partitions.partitionOf(model));
--- a/server/src/main/java/org/marigoldmill/server/batch/RolloutScheduler.java
+++ b/server/src/main/java/org/marigoldmill/server/batch/RolloutScheduler.java
@@ -10,6 +10,7 @@
 import java.util.Set;
 import java.util.concurrent.Executor;
 import java.util.concurrent.RejectedExecutionException;
+import java.util.function.BooleanSupplier;
 import java.util.stream.Collectors;
 import org.marigoldmill.core.continuation.Continuation;
 import org.marigoldmill.core.limit.EngineLimits;
@@ -56,6 +57,7 @@
   private final EngineVersions versions;
   private final ItemRunner runner;
   private final Executor executor;
+  private final BooleanSupplier upstreamsLost;
   private final FleetLog fleet;
   private final String zone;
   private final Clock clock;
@@ -69,6 +71,7 @@
    * Creates a scheduler.
    *
    * @param executor runs one task for each attempt
+   * @param upstreamsLost whether this instance reaches no upstream, and so starts nothing
    * @param zone availability zone of this instance
    */
   RolloutScheduler(
@@ -80,6 +83,7 @@
       EngineVersions versions,
       ItemRunner runner,
       Executor executor,
+      BooleanSupplier upstreamsLost,
       FleetLog fleet,
       String zone,
       Clock clock) {
@@ -91,6 +95,7 @@
     this.versions = versions;
     this.runner = runner;
     this.executor = executor;
+    this.upstreamsLost = upstreamsLost;
     this.fleet = fleet;
     this.zone = zone;
     this.clock = clock;
@@ -207,7 +212,7 @@
             .filter(t -> t.canStart(now) && mayStartHere(t))
             .sorted(START_ORDER)
             .toList();
-    if (ready.isEmpty()) {
+    if (ready.isEmpty() || upstreamsLost.getAsBoolean()) {
       return;
     }
     Map<String, List<Engine>> engines = allocator.enginesByModel();
--- a/server/src/main/java/org/marigoldmill/server/batch/Rollouts.java
+++ b/server/src/main/java/org/marigoldmill/server/batch/Rollouts.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.concurrent.Executor;
+import java.util.function.BooleanSupplier;
 import org.marigoldmill.core.limit.EngineLimits;
 import org.marigoldmill.core.placement.EngineLoads;
 import org.marigoldmill.core.weights.EngineVersions;
@@ -21,6 +22,7 @@
    * Creates the scheduler and the planner of weights.
    *
    * @param executor runs one task for each attempt
+   * @param upstreamsLost whether this instance reaches no upstream, and so starts nothing
    * @param zone availability zone of this instance
    */
   public Rollouts(
@@ -34,6 +36,7 @@
       EngineLimits limits,
       FleetLog fleet,
       Executor executor,
+      BooleanSupplier upstreamsLost,
       Metrics metrics,
       String zone,
       Clock clock) {
@@ -50,6 +53,7 @@
             versions,
             runner,
             executor,
+            upstreamsLost,
             fleet,
             zone,
             clock);
--- a/server/src/main/java/org/marigoldmill/server/duty/DutyLeaseHolder.java
+++ b/server/src/main/java/org/marigoldmill/server/duty/DutyLeaseHolder.java
@@ -38,7 +38,8 @@
   private final String holder;
   private final Clock clock;
   private final long ttlMs;
-  private final long earliestClaimMs;
+  private final long turnGuardMs;
+  private volatile long earliestClaimMs;
 
   /** Staggers the claims of processes that see the lease expire at the same time. */
   private final long claimDelayMs;
@@ -64,6 +65,7 @@
     this.ttlMs = ttlMs;
     this.elector = LeaseElector.of(SCOPE, holder, ttlMs, TAKEOVER_GUARD_MS, clock.now());
     this.follower = new PartitionFollower(store, TOPIC, 0, ttlMs / 2, 0, this, clock);
+    this.turnGuardMs = startupDelayMs;
     this.earliestClaimMs = clock.now() + startupDelayMs;
     this.claimDelayMs = Math.floorMod(holder.hashCode(), TAKEOVER_GUARD_MS);
   }
@@ -123,6 +125,12 @@
     }
   }
 
+  /** Claims again after {@link #release}, once the duty may return to an earlier holder. */
+  public void resume() {
+    earliestClaimMs = clock.now() + turnGuardMs;
+    elector.resume();
+  }
+
   @Override
   public synchronized void reset() {
     lastRecord = DutyLease.getDefaultInstance();
