Look for the return of a lost path less often the longer it is lost

Cause: the rate of probes did not depend on how long the path had been lost. Change: after a second, one probe each 600 ms. Evidence: UpstreamReachabilityTest, 300 instances a case.

--- a/core/src/main/java/org/marigoldmill/core/reachability/UpstreamReachability.java
+++ b/core/src/main/java/org/marigoldmill/core/reachability/UpstreamReachability.java
@@ -42,6 +42,11 @@
   private static final long SUSPECT_PROBE_INTERVAL_MS = 150;
   private static final long SILENCE_PROBE_INTERVAL_MS = 600;
   private static final long LOST_PROBE_INTERVAL_MS = 200;
+
+  /** Once the path has been lost for so long, its return is looked for less often. */
+  private static final long LONG_LOST_MS = 1_000;
+
+  private static final long LONG_LOST_PROBE_INTERVAL_MS = 600;
   private static final int PROBES = 4;
   private static final int LOST_PROBES = 2;
 
@@ -56,6 +61,7 @@
   private long connectedAtMs;
   private long probedAtMs;
   private boolean lost;
+  private long lostAtMs;
 
   /** Creates the state of an instance that has contacted no upstream yet. */
   public UpstreamReachability(long nowMs) {
@@ -112,8 +118,9 @@
     if (unreached.size() < LOST_AFTER) {
       unreached.put(address, nowMs);
     }
-    if (unreached.size() >= Math.max(1, Math.min(LOST_AFTER, upstreams))) {
+    if (!lost && unreached.size() >= Math.max(1, Math.min(LOST_AFTER, upstreams))) {
       lost = true;
+      lostAtMs = nowMs;
     }
   }
 
@@ -154,7 +161,7 @@
 
   private int probeCount(Path path, long sinceProbedMs, long nowMs) {
     return switch (path) {
-      case LOST -> sinceProbedMs >= LOST_PROBE_INTERVAL_MS ? LOST_PROBES : 0;
+      case LOST -> lostProbes(sinceProbedMs, nowMs - lostAtMs);
       case SUSPECT -> sinceProbedMs >= SUSPECT_PROBE_INTERVAL_MS ? suspectProbes(nowMs) : 0;
       case OPEN ->
           sinceProbedMs >= SILENCE_PROBE_INTERVAL_MS && quietMs(nowMs) >= SILENCE_MS
@@ -163,6 +170,12 @@
     };
   }
 
+  private static int lostProbes(long sinceProbedMs, long lostMs) {
+    boolean longLost = lostMs >= LONG_LOST_MS;
+    long intervalMs = longLost ? LONG_LOST_PROBE_INTERVAL_MS : LOST_PROBE_INTERVAL_MS;
+    return sinceProbedMs < intervalMs ? 0 : longLost ? 1 : LOST_PROBES;
+  }
+
   /** An upstream that fails while others are heard of is checked with a single probe at first. */
   private int suspectProbes(long nowMs) {
     boolean othersHeard = nowMs - heardAtMs < SILENCE_MS;
