An instance that does not answer one relayed request in time is passed over only briefly

Cause: a timeout of a slow request counted as the loss of the instance that carried it. Change: the pause begins at 250 ms and doubles up to 30 s with each further loss, and an answer ends it.

--- a/core/src/main/java/org/marigoldmill/core/relay/RelayPeers.java
+++ b/core/src/main/java/org/marigoldmill/core/relay/RelayPeers.java
@@ -26,9 +26,9 @@
 public final class RelayPeers {
   private static final int SAMPLE_SIZE = 8;
   private static final long REFUSAL_BACKOFF_MS = 200;
-  private static final long MIN_LOSS_BACKOFF_MS = 1_000;
+  private static final long MIN_LOSS_BACKOFF_MS = 250;
   private static final long MAX_LOSS_BACKOFF_MS = 30_000;
-  private static final int MAX_DOUBLINGS = 5;
+  private static final int MAX_DOUBLINGS = 7;
 
   /** Instances that are looked at in order when none that was sampled can be chosen. */
   private static final int MAX_SCANNED = 64;
