A request given up behind a cut does not reach its engine later

What engines saw: requests that an instance had given up, and that another one had carried meanwhile, arrived when the cut ended; their callers had long gone. Cause: closing a connection lets bytes on their way arrive, and a cut only holds them up. Change: connections to upstreams are reset when they are closed (SO_LINGER 0), so that such bytes are discarded. The client that does so is now called by what it serves, HttpClient.forUpstreams. Evidence: HttpStreamTest, red before (the receiver read on), green after.

--- a/http/src/main/java/org/marigoldmill/http/HttpClient.java
+++ b/http/src/main/java/org/marigoldmill/http/HttpClient.java
@@ -71,6 +71,10 @@
       OptionMap.create(
           UndertowOptions.ENABLE_HTTP2, false, UndertowOptions.ENABLE_STATISTICS, true);
 
+  /** Closing a connection resets it, so that what has not arrived yet never does. */
+  private static final OptionMap RESET_ON_CLOSE =
+      OptionMap.builder().addAll(CONNECT_OPTIONS).set(Options.CLOSE_ABORT, true).getMap();
+
   /**
    * A connection of the pool, with times of {@link #nowMs}.
    *
@@ -80,7 +84,7 @@
   record PooledConnection(ClientConnection connection, long openedAtMs, long reusableUntilMs) {}
 
   private final XnioWorker worker;
-  private final boolean checksHeads;
+  private final boolean forUpstreams;
   private final ConnectionObserver observer;
   private final ByteBufferPool buffers = new DefaultByteBufferPool(true, BUFFER_SIZE_BYTES);
   private final Map<InetSocketAddress, Deque<PooledConnection>> idleConnections =
@@ -88,19 +92,20 @@
 
   private volatile boolean closed;
 
-  private HttpClient(XnioWorker worker, boolean checksHeads, ConnectionObserver observer) {
+  private HttpClient(XnioWorker worker, boolean forUpstreams, ConnectionObserver observer) {
     this.worker = worker;
-    this.checksHeads = checksHeads;
+    this.forUpstreams = forUpstreams;
     this.observer = observer;
   }
 
   /**
-   * Creates a client of receivers whose responses may have heads without end.
+   * Creates a client of upstreams: their responses may have heads without end, and a request that
+   * is given up must not reach them later.
    *
    * @param name name of the threads
    * @param observer told of every connection and call
    */
-  public static HttpClient checkingHeads(String name, int ioThreads, ConnectionObserver observer) {
+  public static HttpClient forUpstreams(String name, int ioThreads, ConnectionObserver observer) {
     return create(name, ioThreads, true, observer);
   }
 
@@ -114,7 +119,7 @@
   }
 
   private static HttpClient create(
-      String name, int ioThreads, boolean checksHeads, ConnectionObserver observer) {
+      String name, int ioThreads, boolean forUpstreams, ConnectionObserver observer) {
     try {
       OptionMap options =
           OptionMap.builder()
@@ -124,7 +129,7 @@
               .set(Options.WORKER_TASK_MAX_THREADS, 2)
               .set(Options.THREAD_DAEMON, true)
               .getMap();
-      return new HttpClient(Xnio.getInstance().createWorker(options), checksHeads, observer);
+      return new HttpClient(Xnio.getInstance().createWorker(options), forUpstreams, observer);
     } catch (IOException e) {
       throw new IllegalStateException("cannot start the HTTP client", e);
     }
@@ -185,7 +190,7 @@
     long headTimeoutMs = Math.min(call.progressTimeoutMs(), deadlineMs - nowMs());
     try {
       ClientExchange exchange =
-          checksHeads
+          forUpstreams
               ? awaitHead(call, connection, head, headTimeoutMs)
               : head.get(Math.max(1, headTimeoutMs), TimeUnit.MILLISECONDS);
       observer.bytesReceived();
@@ -352,7 +357,8 @@
 
   private IoFuture<ClientConnection> startConnecting(InetSocketAddress address) {
     URI uri = URI.create("http://" + address.getHostString() + ":" + address.getPort() + "/");
-    return UndertowClient.getInstance().connect(uri, worker, buffers, CONNECT_OPTIONS);
+    OptionMap options = forUpstreams ? RESET_ON_CLOSE : CONNECT_OPTIONS;
+    return UndertowClient.getInstance().connect(uri, worker, buffers, options);
   }
 
   /** Returns the connection, or gives it up if it has not been established by now. */
--- a/http/src/test/java/org/marigoldmill/http/HttpStreamTest.java
+++ b/http/src/test/java/org/marigoldmill/http/HttpStreamTest.java
@@ -5,9 +5,11 @@
 import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
 import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.net.SocketException;
 import java.util.Random;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
@@ -108,6 +110,32 @@
       }
     }
 
+    /** A request that was given up behind a network partition ran when the partition ended. */
+    @Test
+    void should_reset_the_connection_so_that_bytes_on_their_way_are_discarded() {
+      // GIVEN
+      CompletableFuture<Integer> received = CompletableFuture.supplyAsync(this::readToTheEnd);
+      Cancellation cancellation = new Cancellation();
+      try (HttpClient upstreams = HttpClient.forUpstreams("abort", 1, ConnectionObserver.NONE)) {
+        CompletableFuture<HttpStream> call =
+            CompletableFuture.supplyAsync(() -> upstreams.open(call().cancellation(cancellation)));
+        pause(200);
+        // WHEN
+        cancellation.cancel();
+        // THEN
+        assertThatThrownBy(call::join).hasCauseInstanceOf(HttpCallException.class);
+        assertThatThrownBy(received::join).hasRootCauseInstanceOf(SocketException.class);
+      }
+    }
+
+    private int readToTheEnd() {
+      try (Socket socket = server.accept()) {
+        return socket.getInputStream().readAllBytes().length;
+      } catch (IOException e) {
+        throw new UncheckedIOException(e);
+      }
+    }
+
     private void assertReadInProgressFails(Consumer<HttpStream> abort) {
       // GIVEN
       serve(CHUNKED_HEAD + CHUNK, true);
--- a/server/src/main/java/org/marigoldmill/server/DeploymentInstance.java
+++ b/server/src/main/java/org/marigoldmill/server/DeploymentInstance.java
@@ -170,7 +170,7 @@
             clock);
     this.crashes = new CrashLog(store, settings.getInstance(), suspects, clock);
     this.pathMonitor = new UpstreamPathMonitor(engines, RandomGenerator.getDefault(), clock);
-    final HttpClient client = register(HttpClient.checkingHeads("upstreams", 1, pathMonitor));
+    final HttpClient client = register(HttpClient.forUpstreams("upstreams", 1, pathMonitor));
     this.peers =
         new RelayPeers(settings.getInstance(), settings.getZone(), RandomGenerator.getDefault());
     this.directory =
--- a/server/src/main/java/org/marigoldmill/server/EntryInstance.java
+++ b/server/src/main/java/org/marigoldmill/server/EntryInstance.java
@@ -103,7 +103,7 @@
         MemberTable.of(selfEntry(incarnation), settings.getFailureTimeoutMs(), clock.now());
     this.client =
         register(
-            HttpClient.checkingHeads(
+            HttpClient.forUpstreams(
                 "client-" + settings.getInstance(), 2, ConnectionObserver.NONE));
     HttpClient control = register(HttpClient.create("control-" + settings.getInstance(), 1));
     PlatformClient platform = new PlatformClient(control, settings.getPlatform());
