A stream that another instance began is resumed only through other instances

What callers saw: events of two software versions in one stream, when the instance that carried it was killed just after the path to the upstreams had come back. Cause: the instance at which the stream had arrived did not know with which version the other one had begun it, and went on at any engine. Change: such a stream goes on through other instances only, which look its version up.

--- a/cli/src/test/java/org/marigoldmill/cli/deployment/CutOffInstanceIT.java
+++ b/cli/src/test/java/org/marigoldmill/cli/deployment/CutOffInstanceIT.java
@@ -76,6 +76,10 @@
         .toList();
   }
 
+  private String output(int instance) {
+    return cluster.instances.get(instance).process().output();
+  }
+
   private long runs(String id) {
     return List.of(cluster.plain, other).stream()
         .mapToInt(e -> Collections.frequency(e.startedRequests(), id))
@@ -106,8 +110,7 @@
       ProcessCluster.pause(CRASH_PROBE_MS);
       // THEN
       assertThat(cluster.sendWith(0, "/app/echo/1000", "later").status()).isEqualTo(200);
-      assertThat(cluster.instances.get(CUT_OFF).process().output())
-          .doesNotContain("upstream crashed while running a request");
+      assertThat(output(CUT_OFF)).doesNotContain("upstream crashed while running a request");
     }
   }
 
@@ -128,7 +131,7 @@
     }
 
     private List<String> heldPartitions(int instance) {
-      String log = cluster.instances.get(instance).process().output();
+      String log = output(instance);
       int last = log.lastIndexOf("partitions held");
       String now = last < 0 ? "[]" : log.substring(log.indexOf("now=", last));
       return List.of(now.substring(now.indexOf('[') + 1, now.indexOf(']')).split(", ", -1));
@@ -173,6 +176,46 @@
       assertThat(stream.text()).contains("id: 1\n", "id: " + DeploymentCluster.EVENTS + "\n");
     }
 
+    @Test
+    void should_get_whole_streams_of_one_version_when_the_carrying_instance_is_killed() {
+      // GIVEN
+      EngineStandin newer = new EngineStandin("e-2", "m", DeploymentCluster.EVENTS, 100);
+      newer.softwareVersion("v2");
+      cluster.store.put("servers", "e-2", newer.entry("llm"));
+      DeploymentCluster.await(() -> logged("engine listed id=e-2"));
+      paths.cut(Cut.REFUSE);
+      statuses(CUT_OFF, "/app/x", "call-");
+      // WHEN
+      List<CompletableFuture<HttpResponse>> streams = startStreams();
+      DeploymentCluster.await(() -> newer.startedRequests().size() > 1);
+      paths.heal();
+      DeploymentCluster.await(() -> output(CUT_OFF).contains("upstream path now=OPEN"));
+      cluster.instances.get(0).kill();
+      // THEN
+      assertThat(streams.stream().map(CompletableFuture::join))
+          .allMatch(s -> s.text().contains("id: " + DeploymentCluster.EVENTS + "\n"));
+      List.of(cluster.engine, newer).forEach(this::assertResumedOnlyWhatItBegan);
+      newer.close();
+    }
+
+    private List<CompletableFuture<HttpResponse>> startStreams() {
+      return IntStream.range(0, CALLS)
+          .mapToObj(
+              i ->
+                  CompletableFuture.supplyAsync(
+                      () -> cluster.sendWith(CUT_OFF, "/gen/x" + i, "stream-" + i), callers))
+          .toList();
+    }
+
+    private void assertResumedOnlyWhatItBegan(EngineStandin engine) {
+      assertThat(engine.resumedRequests())
+          .allMatch(id -> Collections.frequency(engine.startedRequests(), id) > 1);
+    }
+
+    private boolean logged(String line) {
+      return IntStream.range(0, 3).allMatch(i -> output(i).contains(line));
+    }
+
     @Test
     void should_be_refused_at_once_when_no_instance_reaches_an_upstream() {
       // GIVEN
--- a/cli/src/test/java/org/marigoldmill/cli/deployment/EngineStandin.java
+++ b/cli/src/test/java/org/marigoldmill/cli/deployment/EngineStandin.java
@@ -44,6 +44,7 @@
   private final AtomicInteger accepted = new AtomicInteger();
   private final Queue<Order> orders = new ConcurrentLinkedQueue<>();
   private final Queue<String> startedRequests = new ConcurrentLinkedQueue<>();
+  private final Queue<String> resumedRequests = new ConcurrentLinkedQueue<>();
   private final Queue<String> abortedRequests = new ConcurrentLinkedQueue<>();
   private final AtomicBoolean closed = new AtomicBoolean();
   private volatile String requestLimit = "";
@@ -132,6 +133,11 @@
     return List.copyOf(startedRequests);
   }
 
+  /** Returns the ids of the requests that were to go on after an event. */
+  List<String> resumedRequests() {
+    return List.copyOf(resumedRequests);
+  }
+
   /** Returns the ids of the requests whose receiver closed the connection early. */
   List<String> abortedRequests() {
     return List.copyOf(abortedRequests);
@@ -157,6 +163,9 @@
       acceptOrder(exchange, MAPPER.readTree(body));
     } else {
       startedRequests.add(request);
+      if (exchange.getRequestHeaders().contains("Last-Event-Id")) {
+        resumedRequests.add(request);
+      }
       setHeader(exchange, "X-Attempt-Id", request);
       setHeader(exchange, "X-Server-Seal", score(request));
       if (leaving) {
--- a/server/src/main/java/org/marigoldmill/server/gateway/StreamForwarder.java
+++ b/server/src/main/java/org/marigoldmill/server/gateway/StreamForwarder.java
@@ -138,7 +138,10 @@
   private final class AttemptLoop {
     private final Forwarder.Request request;
     private final HttpServerExchange exchange;
-    private final boolean relayOnly;
+
+    /** Whether only other instances know with which software version the stream was begun. */
+    private boolean relayOnly;
+
     private Optional<String> softwareVersion;
     private boolean onlyUnrecorded;
     private final Set<String> tried = new HashSet<>();
@@ -154,7 +157,7 @@
      * Creates the loop.
      *
      * @param softwareVersion version of the engines that may continue the stream; empty to begin it
-     * @param relayOnly whether this instance does not know which engines may continue the stream
+     * @param relayOnly whether only other instances know which engines may continue the stream
      */
     private AttemptLoop(
         Forwarder.Request request,
@@ -259,6 +262,7 @@
         record.recordLost(false);
         return;
       }
+      relayOnly = true;
       startResponse(stream);
       relay(stream);
       whole = true;
