Only connections to upstreams are reset when they are closed

Found by reading while looking for it: gave the reset also to the one client that an EntryInstance uses for upstreams, log, ordering and billing alike. Nothing shows that it caused the failure; it was not meant. Change: the reset belongs to HttpClient.forUpstreams, which the deployment's instances use for upstreams only; checkingHeads is the client of all others again.

--- a/http/src/main/java/org/marigoldmill/http/HttpClient.java
+++ b/http/src/main/java/org/marigoldmill/http/HttpClient.java
@@ -84,7 +84,8 @@
   record PooledConnection(ClientConnection connection, long openedAtMs, long reusableUntilMs) {}
 
   private final XnioWorker worker;
-  private final boolean forUpstreams;
+  private final boolean checksHeads;
+  private final OptionMap connectOptions;
   private final ConnectionObserver observer;
   private final ByteBufferPool buffers = new DefaultByteBufferPool(true, BUFFER_SIZE_BYTES);
   private final Map<InetSocketAddress, Deque<PooledConnection>> idleConnections =
@@ -92,9 +93,14 @@
 
   private volatile boolean closed;
 
-  private HttpClient(XnioWorker worker, boolean forUpstreams, ConnectionObserver observer) {
+  private HttpClient(
+      XnioWorker worker,
+      boolean checksHeads,
+      OptionMap connectOptions,
+      ConnectionObserver observer) {
     this.worker = worker;
-    this.forUpstreams = forUpstreams;
+    this.checksHeads = checksHeads;
+    this.connectOptions = connectOptions;
     this.observer = observer;
   }
 
@@ -106,7 +112,16 @@
    * @param observer told of every connection and call
    */
   public static HttpClient forUpstreams(String name, int ioThreads, ConnectionObserver observer) {
-    return create(name, ioThreads, true, observer);
+    return create(name, ioThreads, true, RESET_ON_CLOSE, observer);
+  }
+
+  /**
+   * Creates a client of upstreams and other receivers, whose responses may have heads without end.
+   *
+   * @param name name of the threads
+   */
+  public static HttpClient checkingHeads(String name, int ioThreads) {
+    return create(name, ioThreads, true, CONNECT_OPTIONS, ConnectionObserver.NONE);
   }
 
   /**
@@ -115,11 +130,15 @@
    * @param name name of the threads
    */
   public static HttpClient create(String name, int ioThreads) {
-    return create(name, ioThreads, false, ConnectionObserver.NONE);
+    return create(name, ioThreads, false, CONNECT_OPTIONS, ConnectionObserver.NONE);
   }
 
   private static HttpClient create(
-      String name, int ioThreads, boolean forUpstreams, ConnectionObserver observer) {
+      String name,
+      int ioThreads,
+      boolean checksHeads,
+      OptionMap connectOptions,
+      ConnectionObserver observer) {
     try {
       OptionMap options =
           OptionMap.builder()
@@ -129,7 +148,8 @@
               .set(Options.WORKER_TASK_MAX_THREADS, 2)
               .set(Options.THREAD_DAEMON, true)
               .getMap();
-      return new HttpClient(Xnio.getInstance().createWorker(options), forUpstreams, observer);
+      XnioWorker worker = Xnio.getInstance().createWorker(options);
+      return new HttpClient(worker, checksHeads, connectOptions, observer);
     } catch (IOException e) {
       throw new IllegalStateException("cannot start the HTTP client", e);
     }
@@ -190,7 +210,7 @@
     long headTimeoutMs = Math.min(call.progressTimeoutMs(), deadlineMs - nowMs());
     try {
       ClientExchange exchange =
-          forUpstreams
+          checksHeads
               ? awaitHead(call, connection, head, headTimeoutMs)
               : head.get(Math.max(1, headTimeoutMs), TimeUnit.MILLISECONDS);
       observer.bytesReceived();
@@ -357,8 +377,7 @@
 
   private IoFuture<ClientConnection> startConnecting(InetSocketAddress address) {
     URI uri = URI.create("http://" + address.getHostString() + ":" + address.getPort() + "/");
-    OptionMap options = forUpstreams ? RESET_ON_CLOSE : CONNECT_OPTIONS;
-    return UndertowClient.getInstance().connect(uri, worker, buffers, options);
+    return UndertowClient.getInstance().connect(uri, worker, buffers, connectOptions);
   }
 
   /** Returns the connection, or gives it up if it has not been established by now. */
--- a/server/src/main/java/org/marigoldmill/server/EntryInstance.java
+++ b/server/src/main/java/org/marigoldmill/server/EntryInstance.java
@@ -16,7 +16,6 @@
 import org.marigoldmill.core.membership.MemberTable;
 import org.marigoldmill.core.quarantine.SuspectTable;
 import org.marigoldmill.core.routing.UpstreamTable;
-import org.marigoldmill.http.ConnectionObserver;
 import org.marigoldmill.http.HttpClient;
 import org.marigoldmill.schema.declaration.Declaration;
 import org.marigoldmill.schema.log.Snapshot;
@@ -101,10 +100,7 @@
     this.upstreams = UpstreamTable.with(RandomGenerator.getDefault());
     this.members =
         MemberTable.of(selfEntry(incarnation), settings.getFailureTimeoutMs(), clock.now());
-    this.client =
-        register(
-            HttpClient.forUpstreams(
-                "client-" + settings.getInstance(), 2, ConnectionObserver.NONE));
+    this.client = register(HttpClient.checkingHeads("client-" + settings.getInstance(), 2));
     HttpClient control = register(HttpClient.create("control-" + settings.getInstance(), 1));
     PlatformClient platform = new PlatformClient(control, settings.getPlatform());
     this.instances = new Instances(platform, upstreams);
