A call that is silent on a connection that may live on is not given up

What callers saw: a call that takes longer than a quarter of a second ran twice, and was answered later, when its instance was cut off in a way that refuses new connections and lets open ones live on. Cause: once the path was lost, 250 ms of silence ended every call that may be repeated; silence alone does not tell a connection that hangs from one whose upstream works. Change: calls are given up only while new connections go unanswered. While they are refused, something comes back, and open connections have been reset or live on. The rule moves from UpstreamPathMonitor to UpstreamReachability. Evidence: CutOffInstanceIT$InProgress, two runs before, one after.

--- a/cli/src/test/java/org/marigoldmill/cli/deployment/CutOffInstanceIT.java
+++ b/cli/src/test/java/org/marigoldmill/cli/deployment/CutOffInstanceIT.java
@@ -112,6 +112,23 @@
     }
   }
 
+  @Nested
+  class InProgress {
+    @Test
+    void should_be_answered_by_the_upstream_that_runs_them_when_open_connections_live_on() {
+      // GIVEN
+      CompletableFuture<HttpResponse> call =
+          supplyAsync(() -> cluster.sendWith(CUT_OFF, "/app/echo/1500", "slow"), callers);
+      DeploymentCluster.await(() -> runs("slow") > 0);
+      // WHEN
+      paths.cut(Cut.REFUSE_NEW);
+      statuses(CUT_OFF, "/once/x", "once-");
+      // THEN
+      assertThat(call.join().status()).isEqualTo(200);
+      assertThat(runs("slow")).isEqualTo(1);
+    }
+  }
+
   @Nested
   class Submissions {
     /** Items of a model were never generated while the instance that owned it was cut off. */
--- a/core/src/main/java/org/marigoldmill/core/reachability/UpstreamReachability.java
+++ b/core/src/main/java/org/marigoldmill/core/reachability/UpstreamReachability.java
@@ -39,6 +39,9 @@
   /** Silence of all upstreams, while calls are open, after which it is checked who is at fault. */
   private static final long SILENCE_MS = 300;
 
+  /** Silence of all upstreams after which calls are not waited for once the path is lost. */
+  private static final long ABANDON_AFTER_MS = 250;
+
   private static final long SUSPECT_PROBE_INTERVAL_MS = 150;
   private static final long SILENCE_PROBE_INTERVAL_MS = 600;
   private static final long LOST_PROBE_INTERVAL_MS = 200;
@@ -61,6 +64,7 @@
   private long connectedAtMs;
   private long probedAtMs;
   private boolean lost;
+  private boolean lastRefused;
   private long lostAtMs;
 
   /** Creates the state of an instance that has contacted no upstream yet. */
@@ -109,11 +113,14 @@
    * <p>It tells nothing of the path if another connection was established after the attempt began.
    *
    * @param startedAtMs when the attempt began
+   * @param refused whether it was refused, so that something still comes back on the path
    */
-  public synchronized void recordUnreached(String address, long startedAtMs, long nowMs) {
+  public synchronized void recordUnreached(
+      String address, long startedAtMs, boolean refused, long nowMs) {
     if (startedAtMs < connectedAtMs) {
       return;
     }
+    lastRefused = refused;
     unreached.values().removeIf(at -> nowMs - at > MEMORY_MS);
     if (unreached.size() < LOST_AFTER) {
       unreached.put(address, nowMs);
@@ -143,6 +150,16 @@
     return openCalls == 0 ? 0 : nowMs - quietSinceMs;
   }
 
+  /**
+   * Returns whether calls in progress are to be given up, because nothing comes back any more.
+   *
+   * <p>While new connections are refused, those that are open are either reset or live on, and a
+   * call that is silent there may only be slow.
+   */
+  public synchronized boolean abandonsCalls(long nowMs) {
+    return lost && !lastRefused && quietMs(nowMs) >= ABANDON_AFTER_MS;
+  }
+
   /**
    * Returns the upstreams to which a connection is to be tried now; none while there is no doubt.
    *
--- a/core/src/test/java/org/marigoldmill/core/reachability/UpstreamReachabilityTest.java
+++ b/core/src/test/java/org/marigoldmill/core/reachability/UpstreamReachabilityTest.java
@@ -86,11 +86,13 @@
         firstUnreachedCallMs = nowMs;
       }
       if (!refuses && call) {
-        after(SLOW_CONNECT_MS, () -> reachability.recordUnreached(upstream, startedAtMs, nowMs));
+        after(
+            SLOW_CONNECT_MS,
+            () -> reachability.recordUnreached(upstream, startedAtMs, refuses, nowMs));
       }
       after(
           refuses ? 1 : timeoutMs,
-          () -> reachability.recordUnreached(upstream, startedAtMs, nowMs));
+          () -> reachability.recordUnreached(upstream, startedAtMs, refuses, nowMs));
       if (call) {
         after(refuses ? 1 : timeoutMs, () -> endCall(false));
       }
@@ -239,7 +241,7 @@
     @Test
     void should_go_to_others_than_the_upstream_that_failed() {
       // GIVEN
-      reachability.recordUnreached("a", 1_000, 1_000);
+      reachability.recordUnreached("a", 1_000, false, 1_000);
       // THEN
       assertThat(probesDue(1_000)).hasSize(4).doesNotContain("a");
     }
@@ -248,7 +250,7 @@
     void should_be_few_when_one_upstream_fails_and_others_are_heard() {
       // GIVEN
       reachability.recordHeard(950);
-      reachability.recordUnreached("a", 1_000, 1_000);
+      reachability.recordUnreached("a", 1_000, false, 1_000);
       // THEN
       assertThat(probesDue(1_000)).hasSize(1);
     }
--- a/http/src/main/java/org/marigoldmill/http/ConnectionObserver.java
+++ b/http/src/main/java/org/marigoldmill/http/ConnectionObserver.java
@@ -21,8 +21,9 @@
    * Called when a new connection was refused, or not established in time.
    *
    * @param elapsedMs time since the attempt began, in milliseconds
+   * @param refused whether it was refused, as opposed to no answer in time
    */
-  default void notConnected(InetSocketAddress address, long elapsedMs) {}
+  default void notConnected(InetSocketAddress address, long elapsedMs, boolean refused) {}
 
   /** Called when a call starts. */
   default void callStarted() {}
--- a/http/src/main/java/org/marigoldmill/http/HttpClient.java
+++ b/http/src/main/java/org/marigoldmill/http/HttpClient.java
@@ -387,9 +387,9 @@
     if (status != IoFuture.Status.DONE) {
       future.addNotifier(new CloseLateConnection(), null);
       future.cancel();
-      observer.notConnected(address, nowMs() - startMs);
-      throw notConnected(
-          String.valueOf(address), status == IoFuture.Status.FAILED ? future.getException() : null);
+      boolean refused = status == IoFuture.Status.FAILED;
+      observer.notConnected(address, nowMs() - startMs, refused);
+      throw notConnected(String.valueOf(address), refused ? future.getException() : null);
     }
     try {
       PooledConnection pooled = new PooledConnection(future.get(), nowMs(), nowMs());
--- a/server/src/main/java/org/marigoldmill/server/reachability/UpstreamPathMonitor.java
+++ b/server/src/main/java/org/marigoldmill/server/reachability/UpstreamPathMonitor.java
@@ -31,9 +31,6 @@
   private static final int OTHERS_SAMPLED = 8;
   private static final int OTHERS_PROBED = 2;
 
-  /** Silence of all upstreams after which calls are not waited for once the path is lost. */
-  private static final long ABANDON_AFTER_MS = 250;
-
   private final EngineRegistry registry;
   private final UpstreamReachability reachability;
   private final RandomGenerator random;
@@ -144,12 +141,12 @@
 
   @Override
   public void connectSlow(InetSocketAddress address, long elapsedMs) {
-    recordUnreached(address, elapsedMs);
+    recordUnreached(address, elapsedMs, false);
   }
 
   @Override
-  public void notConnected(InetSocketAddress address, long elapsedMs) {
-    recordUnreached(address, elapsedMs);
+  public void notConnected(InetSocketAddress address, long elapsedMs, boolean refused) {
+    recordUnreached(address, elapsedMs, refused);
   }
 
   @Override
@@ -167,10 +164,10 @@
     reachability.recordCallEnded();
   }
 
-  private void recordUnreached(InetSocketAddress address, long elapsedMs) {
+  private void recordUnreached(InetSocketAddress address, long elapsedMs, boolean refused) {
     String name = address.getHostString() + ":" + address.getPort();
     long nowMs = clock.now();
-    reachability.recordUnreached(name, nowMs - elapsedMs, nowMs);
+    reachability.recordUnreached(name, nowMs - elapsedMs, refused, nowMs);
     wake();
   }
 
@@ -195,10 +192,8 @@
     loggedPath = path;
   }
 
-  /** Connections that were open before new ones failed may live on. */
   private void abandonSilentCalls() {
-    long nowMs = clock.now();
-    if (isLost() && reachability.quietMs(nowMs) >= ABANDON_AFTER_MS) {
+    if (reachability.abandonsCalls(clock.now())) {
       watched.forEach(Watched::abandon);
     }
   }
