A stream that hangs behind a cut keeps its attempts and blames no engine

What callers saw: a stream whose route allows one attempt was cut when its instance was cut off, although another instance could have resumed it. Cause: an attempt that was given up because no upstream is reached counted as one, and as a failure of its engine. Calls were right, streams were not. Change: streams record such an attempt as calls do.

--- a/cli/src/test/java/org/marigoldmill/cli/deployment/CutOffInstanceIT.java
+++ b/cli/src/test/java/org/marigoldmill/cli/deployment/CutOffInstanceIT.java
@@ -127,6 +127,19 @@
       assertThat(call.join().status()).isEqualTo(200);
       assertThat(runs("slow")).isEqualTo(1);
     }
+
+    @Test
+    void should_be_continued_elsewhere_when_a_stream_hangs_at_its_only_attempt() {
+      // GIVEN
+      CompletableFuture<HttpResponse> stream =
+          supplyAsync(() -> cluster.sendWith(CUT_OFF, "/gen/single/x", "stream"), callers);
+      DeploymentCluster.await(() -> cluster.engine.startedRequests().contains("stream"));
+      // WHEN
+      paths.cut(Cut.HANG);
+      statuses(CUT_OFF, "/once/x", "once-");
+      // THEN
+      assertThat(stream.join().text()).contains("id: " + DeploymentCluster.EVENTS + "\n");
+    }
   }
 
   @Nested
--- a/cli/src/test/java/org/marigoldmill/cli/deployment/DeploymentCluster.java
+++ b/cli/src/test/java/org/marigoldmill/cli/deployment/DeploymentCluster.java
@@ -225,6 +225,10 @@
         .put("streaming", true)
         .put("resumable", true);
     route(routes, "/once/", "mutating", "app").put("max_attempts", 2).put("slo_ms", 500);
+    route(routes, "/gen/single/", "idempotent", "llm")
+        .put("max_attempts", 1)
+        .put("streaming", true)
+        .put("resumable", true);
     route(routes, "/gen/once/", "mutating", "llm").put("max_attempts", 1).put("streaming", true);
     ArrayNode services = config.putArray("services");
     services.addObject().put("name", "app");
--- a/server/src/main/java/org/marigoldmill/server/gateway/StreamForwarder.java
+++ b/server/src/main/java/org/marigoldmill/server/gateway/StreamForwarder.java
@@ -150,6 +150,10 @@
     private final AttemptTracker record;
     private String engine = "";
     private long retryAfterMs = Forwarder.RETRY_AFTER_MS;
+
+    /** Whether the last attempt was given up because no upstream is reached. */
+    private boolean abandoned;
+
     private boolean begun;
     private boolean whole;
 
@@ -206,13 +210,18 @@
       PlatformInstance instance = picked.instance();
       engine = picked.engine().id();
       tried.add(engine);
+      abandoned = false;
       record.recordSent();
       try {
         send(picked.engine(), remainingMs - picked.waitMs());
         upstreams.recordSuccess(instance);
         return true;
       } catch (HttpCallException e) {
-        upstreams.recordFailure(instance, clock.now());
+        if (abandoned) {
+          upstreams.release(instance);
+        } else {
+          upstreams.recordFailure(instance, clock.now());
+        }
         return recordBreak(e);
       } catch (IOException e) {
         upstreams.release(instance);
@@ -232,6 +241,7 @@
       Peer peer = chosen.get();
       triedPeers.add(peer.name());
       engine = "via-" + peer.name();
+      abandoned = false;
       int attempts = record.grantableAttempts();
       RelayClient.Call call =
           request.relayCall(attempts, lastEvent, remainingMs, RELAYED_IDLE_TIMEOUT_MS);
@@ -315,8 +325,11 @@
         receive(call.cancellation(request.cancellation()), attempt, target);
         return;
       }
-      try (UpstreamPathMonitor.Watched watched = path.watch(request.cancellation())) {
+      UpstreamPathMonitor.Watched watched = path.watch(request.cancellation());
+      try (watched) {
         receive(call.cancellation(watched.cancellation()), attempt, target);
+      } finally {
+        abandoned = watched.abandoned();
       }
     }
 
@@ -433,9 +446,16 @@
     /** Returns whether another attempt may start or resume the stream. */
     private boolean recordBreak(HttpCallException failure) {
       logger.atInfo().log(
-          "stream broken id=%s engine=%s software=%s reason=%s last_event=%s",
-          request.id(), engine, softwareVersion.orElse("none"), failure.reason(), lastEvent);
-      if (failure.execution() == HttpCallException.Execution.NOT_SENT) {
+          "stream broken id=%s engine=%s software=%s reason=%s abandoned=%s last_event=%s",
+          request.id(),
+          engine,
+          softwareVersion.orElse("none"),
+          failure.reason(),
+          abandoned,
+          lastEvent);
+      if (abandoned) {
+        record.recordAbandoned();
+      } else if (failure.execution() == HttpCallException.Execution.NOT_SENT) {
         record.recordNotRun();
       } else {
         record.recordLost(failure.reason() == HttpCallException.Reason.SILENT);
