Requests of a cut-off instance go to instances of other zones first

Cause, traced in: the own zone was preferred while half of it reached upstreams as far as it had told; an instance that is cut off too tells so only after its next request, and each such hop costs 300 ms. Change: other zones first, the own zone when none of them can carry.

--- a/core/src/main/java/org/marigoldmill/core/relay/RelayPeers.java
+++ b/core/src/main/java/org/marigoldmill/core/relay/RelayPeers.java
@@ -1,6 +1,5 @@
 package org.marigoldmill.core.relay;
 
-import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -8,15 +7,16 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.random.RandomGenerator;
+import java.util.stream.Collectors;
 import java.util.stream.IntStream;
 
 /**
  * Chooses the instance that carries a request which this instance cannot send to an upstream.
  *
  * <p>Two instances are sampled and the one that carries fewer requests of this instance is chosen,
- * so that without a coordinator the requests of many instances spread evenly. The own availability
- * zone is preferred only while at least half of its instances reach upstreams; the few that remain
- * would otherwise carry the whole zone. An instance that refuses, or is lost, is passed over for a
+ * so that without a coordinator the requests of many instances spread evenly. Other availability
+ * zones go first: what has cut this instance off may have cut off its zone, whose other instances
+ * notice only with their next request. An instance that refuses, or is lost, is passed over for a
  * time.
  *
  * <p>Answers the load of a zone, or of all instances but a few, that are cut off at the same
@@ -53,8 +53,7 @@
   private final Map<String, Peer> peers = new HashMap<>();
   private final Map<String, Load> loads = new HashMap<>();
   private List<Peer> ownZone = List.of();
-  private List<Peer> allZones = List.of();
-  private int knownInOwnZone;
+  private List<Peer> otherZones = List.of();
 
   /**
    * Creates an empty table.
@@ -93,7 +92,7 @@
 
   /** Returns whether another instance is known to reach upstreams. */
   public synchronized boolean anyReachesUpstreams() {
-    return !allZones.isEmpty();
+    return !ownZone.isEmpty() || !otherZones.isEmpty();
   }
 
   /**
@@ -103,11 +102,8 @@
    * @return the instance, or empty if none is known that can carry the request
    */
   public synchronized Optional<Peer> acquire(Set<String> excluded, long nowMs) {
-    boolean zoneSuffices = 2 * ownZone.size() >= knownInOwnZone + 1;
-    Optional<Peer> chosen = zoneSuffices ? choose(ownZone, excluded, nowMs) : Optional.empty();
-    if (chosen.isEmpty()) {
-      chosen = choose(allZones, excluded, nowMs);
-    }
+    Optional<Peer> chosen =
+        choose(otherZones, excluded, nowMs).or(() -> choose(ownZone, excluded, nowMs));
     chosen.ifPresent(p -> load(p.name()).carried++);
     return chosen;
   }
@@ -171,21 +167,12 @@
   }
 
   private void rebuildIndex() {
-    List<Peer> all = new ArrayList<>();
-    List<Peer> near = new ArrayList<>();
-    knownInOwnZone = 0;
-    for (Peer peer : peers.values()) {
-      boolean own = peer.zone().equals(zone);
-      knownInOwnZone += own ? 1 : 0;
-      if (peer.reachesUpstreams()) {
-        all.add(peer);
-        if (own) {
-          near.add(peer);
-        }
-      }
-    }
-    allZones = List.copyOf(all);
-    ownZone = List.copyOf(near);
+    Map<Boolean, List<Peer>> byOwnZone =
+        peers.values().stream()
+            .filter(Peer::reachesUpstreams)
+            .collect(Collectors.partitioningBy(p -> p.zone().equals(zone)));
+    ownZone = List.copyOf(byOwnZone.get(true));
+    otherZones = List.copyOf(byOwnZone.get(false));
   }
 
   private Load load(String name) {
