A carried request counts as answered only once an upstream's answer is there

Found by reading; no test shows the failing case, CutOffInstanceIT has the others. A carried request was marked as answered on arrival, so that a refusal which the server itself gives (a body that cannot be read) would have been passed on as the answer of an upstream. Now a response without a verdict may have run, and streams set theirs as they begin.

--- a/server/src/main/java/org/marigoldmill/server/gateway/Gateway.java
+++ b/server/src/main/java/org/marigoldmill/server/gateway/Gateway.java
@@ -248,9 +248,7 @@
             "response not sent id=%s status=%d cause=connection closed draining=%s",
             id, result.response().status(), serviceEnd.isPresent());
       }
-      if (RelayProtocol.carried(exchange).isPresent()) {
-        RelayProtocol.setVerdict(exchange, result.verdict());
-      }
+      RelayProtocol.setVerdict(exchange, result.verdict());
       send(exchange, result.response());
     }
   }
--- a/server/src/main/java/org/marigoldmill/server/gateway/StreamForwarder.java
+++ b/server/src/main/java/org/marigoldmill/server/gateway/StreamForwarder.java
@@ -374,6 +374,7 @@
         return;
       }
       begun = true;
+      RelayProtocol.setVerdict(exchange, RelayProtocol.Verdict.ANSWERED);
       exchange.setStatusCode(stream.status());
       RelayProtocol.withoutRelayHeaders(protocol.returnedHeaders(stream.headers()))
           .forEach(h -> exchange.getResponseHeaders().add(new HttpString(h.name()), h.value()));
--- a/server/src/main/java/org/marigoldmill/server/relay/RelayProtocol.java
+++ b/server/src/main/java/org/marigoldmill/server/relay/RelayProtocol.java
@@ -52,7 +52,6 @@
   public static void markCarried(HttpServerExchange exchange) {
     exchange.putAttachment(
         CARRIED, new Carried(number(exchange, CONFIG), (int) number(exchange, ATTEMPTS)));
-    setVerdict(exchange, Verdict.ANSWERED);
   }
 
   /** Returns what the other instance says of a request that it sent here, or empty for callers. */
@@ -60,8 +59,11 @@
     return Optional.ofNullable(exchange.getAttachment(CARRIED));
   }
 
-  /** Sets the verdict of a response that has not been started. */
+  /** Sets the verdict of a response that has not been started, if the request is carried. */
   public static void setVerdict(HttpServerExchange exchange, Verdict verdict) {
+    if (carried(exchange).isEmpty()) {
+      return;
+    }
     exchange
         .getResponseHeaders()
         .put(new HttpString(VERDICT), verdict.name().toLowerCase(Locale.ROOT));
