The entry of a leaving instance is not published again after its deletion

Found by reading; no test shows it. Publishing and leaving ran in two threads, so that an entry could be stored just after its deletion; others would then have tried an instance that is gone, once, and passed over it. Both now exclude each other.

--- a/server/src/main/java/org/marigoldmill/server/relay/InstanceDirectory.java
+++ b/server/src/main/java/org/marigoldmill/server/relay/InstanceDirectory.java
@@ -90,7 +90,7 @@
   /**
    * Publishes the entry of this instance if it has changed or is old; to be called periodically.
    */
-  public void publishDue() {
+  public synchronized void publishDue() {
     boolean reaches = !path.isLost();
     long sinceMs = clock.now() - publishedAtMs;
     boolean changed = published.filter(e -> e.getReachesUpstreams() == reaches).isEmpty();
@@ -128,7 +128,7 @@
   }
 
   /** Publishes that this instance is leaving. */
-  public void leave() {
+  public synchronized void leave() {
     left = true;
     if (!relayAddress.isEmpty()) {
       append(List.of(new KeyedRecord(instance, Optional.empty())));
