--- a/cli/src/test/java/org/marigoldmill/cli/process/DeploymentProcess.java
+++ b/cli/src/test/java/org/marigoldmill/cli/process/DeploymentProcess.java
@@ -11,15 +11,22 @@
   private static final String JAVA_OPTIONS = "-Xmx150m -XX:+UseSerialGC -XX:TieredStopAtLevel=1";
 
   private final SpawnedProcess process;
+  private final Path settings;
   private final String callerAddress;
   private final String readinessAddress;
 
-  private DeploymentProcess(SpawnedProcess process, String caller, String ready) {
+  private DeploymentProcess(SpawnedProcess process, Path settings, String caller, String ready) {
     this.process = process;
+    this.settings = settings;
     this.callerAddress = caller;
     this.readinessAddress = ready;
   }
 
+  /** Returns the binary of the build that is tested. */
+  public static String testedBinary() {
+    return System.getProperty("marigoldmill.binary");
+  }
+
   /**
    * Starts an instance in zone a with its settings in the directory; does not await readiness.
    *
@@ -27,6 +34,12 @@
    */
   public static DeploymentProcess start(
       String name, Path directory, String store, String... extra) {
+    return startBinary(testedBinary(), name, directory, store, extra);
+  }
+
+  /** Starts an instance as {@link #start} does, from the binary of a build. */
+  public static DeploymentProcess startBinary(
+      String binary, String name, Path directory, String store, String... extra) {
     String caller = ProcessCluster.freeAddress();
     String ready = ProcessCluster.freeAddress();
     String settings =
@@ -45,13 +58,9 @@
     try {
       Path file = directory.resolve(name + ".toml");
       Files.writeString(file, settings);
-      String binary = System.getProperty("marigoldmill.binary");
       return new DeploymentProcess(
-          new SpawnedProcess(
-              name,
-              directory,
-              JAVA_OPTIONS,
-              List.of(binary, "serve-deployment", "--settings", file.toString())),
+          new SpawnedProcess(name, directory, JAVA_OPTIONS, command(binary, file)),
+          file,
           caller,
           ready);
     } catch (IOException e) {
@@ -59,6 +68,15 @@
     }
   }
 
+  /** Makes later restarts use the binary of a build. */
+  public void setBinary(String binary) {
+    process.setCommand(command(binary, settings));
+  }
+
+  private static List<String> command(String binary, Path settings) {
+    return List.of(binary, "serve-deployment", "--settings", settings.toString());
+  }
+
   public String callerAddress() {
     return callerAddress;
   }
--- a/cli/src/test/java/org/marigoldmill/cli/process/SpawnedProcess.java
+++ b/cli/src/test/java/org/marigoldmill/cli/process/SpawnedProcess.java
@@ -13,7 +13,7 @@
   private static final long EXIT_WAIT_SECONDS = 40;
 
   private final String name;
-  private final List<String> command;
+  private volatile List<String> command;
   private final Path directory;
   private final String javaOptions;
   private volatile Process process;
@@ -69,6 +69,11 @@
     start();
   }
 
+  /** Sets the command that {@link #restart} starts from now on. */
+  void setCommand(List<String> next) {
+    command = next;
+  }
+
   /** Returns whether the process exits within 40 s. */
   public boolean awaitExit() {
     return awaitExit(TimeUnit.SECONDS.toMillis(EXIT_WAIT_SECONDS));
--- a/cli/src/test/java/org/marigoldmill/cli/soak/SoakIT.java
+++ b/cli/src/test/java/org/marigoldmill/cli/soak/SoakIT.java
@@ -15,6 +15,7 @@
 import org.junit.jupiter.api.condition.EnabledIfSystemProperty;
 import org.junit.jupiter.api.parallel.Execution;
 import org.junit.jupiter.api.parallel.ExecutionMode;
+import org.marigoldmill.cli.process.DeploymentProcess;
 import org.marigoldmill.cli.soak.SoakLog.Violation;
 import org.marigoldmill.cli.soak.SoakSchedule.Scope;
 
@@ -26,6 +27,9 @@
   private static final String CUT_IN_SHUTDOWN =
       "requests were cut late in a shutdown, or it outlasted the grace period";
 
+  /** Binary of another build, {@code cli/target/marigoldmill} of its checkout, for runs by hand. */
+  private static final String OTHER_BUILD = "soak.other";
+
   /** Seeds that were once red, with the cause. */
   private record Known(String seeds, Scope scope, long lengthMs, String cause) {}
 
@@ -107,15 +111,44 @@
     }
   }
 
+  @Nested
+  class TwoBuildsByHand {
+    @Test
+    @EnabledIfSystemProperty(
+        named = OTHER_BUILD,
+        matches = ".+",
+        disabledReason = "needs -Dsoak.other=BINARY, the binary of another build")
+    void should_keep_every_promise_when_instances_are_replaced_in_turn_and_back() {
+      int instances = Integer.getInteger("soak.instances", INSTANCES);
+      long seed = Long.getLong("soak.seeds", 1);
+      Path directory = directory("two-builds-" + seed + "-" + instances);
+      assertThat(
+              SoakRun.replaceInTurn(
+                  seed,
+                  System.getProperty(OTHER_BUILD),
+                  DeploymentProcess.testedBinary(),
+                  instances,
+                  directory))
+          .isEmpty();
+    }
+  }
+
+  /** Returns the binary of an instance: every second one runs the other build if there is one. */
+  private static String binary(int instance) {
+    String tested = DeploymentProcess.testedBinary();
+    return instance % 2 == 0 ? tested : System.getProperty(OTHER_BUILD, tested);
+  }
+
+  private static Path directory(String name) {
+    return Path.of(System.getProperty("marigoldmill.work"), name);
+  }
+
   private static List<Violation> play(long seed, Scope scope) {
     return play(seed, INSTANCES, LENGTH_MS, scope);
   }
 
   private static List<Violation> play(long seed, int instances, long lengthMs, Scope scope) {
-    Path directory =
-        Path.of(
-            System.getProperty("marigoldmill.work"),
-            "soak-" + seed + "-" + scope + "-" + instances);
-    return SoakRun.play(seed, instances, lengthMs, scope, directory);
+    Path directory = directory("soak-" + seed + "-" + scope + "-" + instances);
+    return SoakRun.play(seed, SoakIT::binary, instances, lengthMs, scope, directory);
   }
 }
--- a/cli/src/test/java/org/marigoldmill/cli/soak/SoakInstance.java
+++ b/cli/src/test/java/org/marigoldmill/cli/soak/SoakInstance.java
@@ -23,12 +23,18 @@
   private volatile boolean ready;
   private volatile long stoppedMs = -1;
 
-  SoakInstance(String name, Path directory, String store, Disturbances disturbances, SoakLog log) {
+  SoakInstance(
+      String binary,
+      String name,
+      Path directory,
+      String store,
+      Disturbances disturbances,
+      SoakLog log) {
     this.name = name;
     this.disturbances = disturbances;
     this.log = log;
     this.storeLink = new Relay(store);
-    this.deployed = DeploymentProcess.start(name, directory, storeLink.address());
+    this.deployed = DeploymentProcess.startBinary(binary, name, directory, storeLink.address());
   }
 
   String name() {
@@ -57,6 +63,11 @@
     ready |= life == lives.get();
   }
 
+  /** Returns whether the present process has been ready. */
+  boolean hasBeenReady() {
+    return ready;
+  }
+
   Relay storeLink() {
     return storeLink;
   }
@@ -79,6 +90,12 @@
     restart(work);
   }
 
+  /** Sends SIGTERM and starts the binary of another build in its place. */
+  void replaceBy(String binary) {
+    deployed.setBinary(binary);
+    stopAndRestart();
+  }
+
   /** Sends SIGTERM, waits for the end of the process and checks it. */
   void stop() {
     ending.set(true);
--- a/cli/src/test/java/org/marigoldmill/cli/soak/SoakRun.java
+++ b/cli/src/test/java/org/marigoldmill/cli/soak/SoakRun.java
@@ -15,6 +15,7 @@
 import java.util.concurrent.Executors;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import java.util.function.IntFunction;
 import java.util.stream.IntStream;
 import org.marigoldmill.cli.deployment.StoreStandin;
 import org.marigoldmill.cli.process.ProcessCluster;
@@ -56,6 +57,10 @@
   private static final int THREAD_STACK_BYTES = 256 * 1024;
   private static final long SLOW_STORE_MS = 300;
   private static final long SLOW_LINK_MS = 100;
+
+  /** Time in which the builds serve beside each other between two replacements. */
+  private static final long REPLACE_PAUSE_MS = 2_000;
+
   private static final int MAX_SERIES_SPACING_MS = 100;
 
   private final long seed;
@@ -74,7 +79,7 @@
   private final Map<Action, Consumer<Step>> actions = new EnumMap<>(Action.class);
   private int nextStream;
 
-  private SoakRun(long seed, int count, Path directory) {
+  private SoakRun(long seed, IntFunction<String> binaries, int count, Path directory) {
     this.seed = seed;
     log = new SoakLog(directory);
     disturbances = new Disturbances(log);
@@ -83,7 +88,10 @@
     config = new ConfigHistory(store, disturbances, log, new Random(seed));
     instances =
         IntStream.range(0, count)
-            .mapToObj(i -> new SoakInstance("i" + i, directory, store.address(), disturbances, log))
+            .mapToObj(
+                i ->
+                    new SoakInstance(
+                        binaries.apply(i), "i" + i, directory, store.address(), disturbances, log))
             .toList();
     balancer = new LoadBalancer(instances, log);
     traffic = new Traffic(balancer, upstreams, disturbances, config, log);
@@ -95,12 +103,18 @@
   /**
    * Plays a run and returns the promises that it broke.
    *
+   * @param binaries returns the binary that an instance runs
    * @param lengthMs length of the schedule
    */
   static List<Violation> play(
-      long seed, int instances, long lengthMs, SoakSchedule.Scope scope, Path directory) {
+      long seed,
+      IntFunction<String> binaries,
+      int instances,
+      long lengthMs,
+      SoakSchedule.Scope scope,
+      Path directory) {
     createEmpty(directory);
-    try (SoakRun run = new SoakRun(seed, instances, directory)) {
+    try (SoakRun run = new SoakRun(seed, binaries, instances, directory)) {
       run.start();
       run.play(SoakSchedule.draw(seed, instances, lengthMs, scope));
       run.finish();
@@ -108,6 +122,34 @@
     }
   }
 
+  /**
+   * Replaces all instances of one build in turn by those of another, and back, and returns the
+   * promises that broke.
+   */
+  static List<Violation> replaceInTurn(
+      long seed, String from, String to, int instances, Path directory) {
+    createEmpty(directory);
+    try (SoakRun run = new SoakRun(seed, i -> from, instances, directory)) {
+      run.start();
+      run.replaceAllBy(to);
+      run.replaceAllBy(from);
+      run.finish();
+      return run.log.violations();
+    }
+  }
+
+  private void replaceAllBy(String binary) {
+    for (SoakInstance instance : instances) {
+      sleep(REPLACE_PAUSE_MS);
+      log.event("replace %s by %s", instance.name(), binary);
+      instance.replaceBy(binary);
+      ProcessCluster.await(
+          "replaced instance in rotation",
+          START_TIMEOUT_MS,
+          () -> instance.hasBeenReady() && balancer.isInRotation(instance));
+    }
+  }
+
   static void sleep(long millis) {
     try {
       Thread.sleep(millis);
--- a/server/src/test/java/org/marigoldmill/server/lastbuild/LastBuild.java
+++ b/server/src/test/java/org/marigoldmill/server/lastbuild/LastBuild.java
@@ -19,6 +19,8 @@
 import java.util.Objects;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.Set;
+import java.util.stream.Collectors;
 import java.util.stream.Stream;
 import org.marigoldmill.core.submission.KeyedRecord;
 import org.marigoldmill.core.submission.SubmissionKey;
@@ -61,6 +63,12 @@
 
   private LastBuild() {}
 
+  /** Returns the names of the topics whose records are known. */
+  static Set<String> topics() {
+    return Stream.concat(TYPE_BY_TOPIC.keySet().stream(), Stream.of("submissions"))
+        .collect(Collectors.toSet());
+  }
+
   /**
    * Returns the lines of a file; when refreshing, first replaces them by this build's.
    *
