--- a/server/src/test/java/org/marigoldmill/server/lastbuild/LastBuild.java
+++ b/server/src/test/java/org/marigoldmill/server/lastbuild/LastBuild.java
@@ -23,7 +23,6 @@
 import java.util.stream.Collectors;
 import java.util.stream.Stream;
 import org.marigoldmill.core.submission.KeyedRecord;
-import org.marigoldmill.core.submission.SubmissionKey;
 import org.marigoldmill.server.store.MemoryStore;
 import org.marigoldmill.server.store.StoredRecord;
 import org.marigoldmill.server.store.Topic;
@@ -44,28 +43,26 @@
   private static final String TOMBSTONE = "-";
   private static final String RANDOM_ID = "[0-9a-f]{8}(-[0-9a-f]{4}){3}-[0-9a-f]{12}";
 
-  /** Message types of the topics; those of submissions depend on the key. */
+  /** Message types by topic, or by topic and first part of the key. */
   private static final Map<String, String> TYPE_BY_TOPIC =
-      Map.of(
-          "fleet", "FleetRecord",
-          "crashes", "FleetRecord",
-          "limits", "LimitReport",
-          "instances", "InstanceEntry",
-          "duty-lease", "DutyLease",
-          "software", "DefaultSoftware",
-          "streams", "StreamOrigin");
-
-  private static final Map<SubmissionKey.Part, String> TYPE_BY_PART =
-      Map.of(
-          SubmissionKey.Part.HEADER, "Submission",
-          SubmissionKey.Part.CHUNK, "ItemChunk",
-          SubmissionKey.Part.RESULT, "ItemResult");
+      Map.ofEntries(
+          Map.entry("fleet", "FleetRecord"),
+          Map.entry("crashes", "FleetRecord"),
+          Map.entry("limits", "LimitReport"),
+          Map.entry("instances", "InstanceEntry"),
+          Map.entry("duty-lease", "DutyLease"),
+          Map.entry("software", "DefaultSoftware"),
+          Map.entry("streams", "StreamOrigin"),
+          Map.entry("submissions/h", "Submission"),
+          Map.entry("submissions/c", "ItemChunk"),
+          Map.entry("submissions/r", "ItemResult"));
 
   private LastBuild() {}
 
   /** Returns the names of the topics whose records are known. */
   static Set<String> topics() {
-    return Stream.concat(TYPE_BY_TOPIC.keySet().stream(), Stream.of("submissions"))
+    return TYPE_BY_TOPIC.keySet().stream()
+        .map(t -> t.split("/", -1)[0])
         .collect(Collectors.toSet());
   }
 
@@ -143,7 +140,7 @@
 
   private static String type(String topic, String key) {
     String type = TYPE_BY_TOPIC.get(topic);
-    return type != null ? type : TYPE_BY_PART.get(SubmissionKey.parse(key).orElseThrow().part());
+    return type != null ? type : TYPE_BY_TOPIC.get(topic + "/" + key.split("/", -1)[0]);
   }
 
   /** Returns a message as JSON, which leaves out fields that its type does not have. */
