Choose engines by estimated load, from reports that are a little old

What callers saw: an instance sent its requests to engines of its own zone also when these had queues and others had room; a report was weighed by a fixed half-life of 1 s, whatever a request takes, and an engine of which nothing was known counted as idle.

core.balance estimates load and time of work of each engine (others' requests decay with the time of a request toward the usual load, own ones count in full), draws from the estimate and compares a few engines of the own zone and of all. UpstreamTable.with is as before; UpstreamTable.estimating is new and not used yet.

--- a/core/src/main/java/org/marigoldmill/core/routing/UpstreamTable.java
+++ b/core/src/main/java/org/marigoldmill/core/routing/UpstreamTable.java
@@ -2,11 +2,17 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.function.Predicate;
 import java.util.random.RandomGenerator;
+import org.marigoldmill.core.balance.Decision;
+import org.marigoldmill.core.balance.EngineChooser;
+import org.marigoldmill.core.balance.LoadEstimates;
+import org.marigoldmill.core.balance.LoadReport;
 import org.marigoldmill.schema.platform.InstanceState;
 import org.marigoldmill.schema.platform.PlatformInstance;
 
@@ -17,6 +23,8 @@
  * Load is the number of requests outstanding from this process plus the load that the upstream
  * reported, which loses weight with age. An upstream that has failed is ejected for a time that
  * doubles with each consecutive failure; ejected ones are used only when no other has capacity.
+ *
+ * <p>A table that estimates leaves the comparison to {@link EngineChooser} instead.
  */
 public final class UpstreamTable {
   private static final long INITIAL_EJECTION_MS = 500;
@@ -34,26 +42,46 @@
     private int outstandingAtReport;
   }
 
+  /** Receives the decisions of a table that estimates. */
+  public interface DecisionListener {
+    /** Called after each choice, with the table locked. */
+    void onDecision(String pool, Decision decision);
+  }
+
+  private record Estimating(
+      LoadEstimates estimates, EngineChooser chooser, DecisionListener listener) {}
+
   private final RandomGenerator random;
+  private final Optional<Estimating> estimating;
   private final Map<String, Load> loads = new HashMap<>();
   private List<PlatformInstance> instances = List.of();
   private Map<String, Map<String, List<PlatformInstance>>> liveByPoolAndZone = Map.of();
 
-  private UpstreamTable(RandomGenerator random) {
+  private UpstreamTable(RandomGenerator random, Optional<Estimating> estimating) {
     this.random = random;
+    this.estimating = estimating;
   }
 
   /** Creates an empty table that samples with the given random source. */
   public static UpstreamTable with(RandomGenerator random) {
-    return new UpstreamTable(random);
+    return new UpstreamTable(random, Optional.empty());
+  }
+
+  /** Creates an empty table that chooses by estimated load. */
+  public static UpstreamTable estimating(RandomGenerator random, DecisionListener listener) {
+    LoadEstimates estimates = new LoadEstimates();
+    EngineChooser chooser = new EngineChooser(estimates, random);
+    return new UpstreamTable(random, Optional.of(new Estimating(estimates, chooser, listener)));
   }
 
   /** Replaces the list of upstreams; the load of those that remain is kept. */
   public synchronized void replace(List<PlatformInstance> listed) {
     instances = List.copyOf(listed);
     rebuildIndex();
-    List<String> names = listed.stream().map(PlatformInstance::getName).toList();
+    Set<String> names = new HashSet<>();
+    listed.forEach(i -> names.add(i.getName()));
     loads.keySet().removeIf(name -> !names.contains(name) && loads.get(name).outstanding == 0);
+    estimating.ifPresent(e -> e.estimates().retain(names));
   }
 
   /** Returns the live upstreams of a pool in all zones. */
@@ -75,12 +103,38 @@
       String pool, String zone, int limit, Predicate<PlatformInstance> eligible, long nowMs) {
     Predicate<PlatformInstance> hasRoom = i -> eligible.test(i) && load(i).outstanding < limit;
     Optional<PlatformInstance> chosen =
-        sampleHealthy(inZoneOrAll(pool, zone), hasRoom, nowMs)
-            .or(() -> lessLoadedOfTwo(eligibleCandidates(pool, zone, hasRoom, nowMs), nowMs));
+        estimating.isPresent()
+            ? chooseByEstimate(estimating.get(), pool, zone, hasRoom, nowMs)
+            : sampleHealthy(inZoneOrAll(pool, zone), hasRoom, nowMs)
+                .or(() -> lessLoadedOfTwo(eligibleCandidates(pool, zone, hasRoom, nowMs), nowMs));
     chosen.ifPresent(i -> load(i).outstanding++);
     return chosen;
   }
 
+  private Optional<PlatformInstance> chooseByEstimate(
+      Estimating by, String pool, String zone, Predicate<PlatformInstance> hasRoom, long nowMs) {
+    Map<String, List<PlatformInstance>> zones = liveByPoolAndZone.getOrDefault(pool, Map.of());
+    EngineChooser.Pool engines =
+        new EngineChooser.Pool(
+            pool,
+            zone,
+            zones.getOrDefault(zone, List.of()),
+            zones.getOrDefault(ALL_ZONES, List.of()));
+    Decision healthy =
+        by.chooser()
+            .choose(
+                engines,
+                i -> load(i).ejectedUntilMs <= nowMs && hasRoom.test(i),
+                i -> load(i).outstanding,
+                nowMs);
+    Decision decision =
+        healthy.chosen().isPresent()
+            ? healthy
+            : by.chooser().choose(engines, hasRoom, i -> load(i).outstanding, nowMs);
+    by.listener().onDecision(pool, decision);
+    return decision.chosen().map(Decision.Candidate::engine);
+  }
+
   /** Records the end of a request that succeeded, and ends an ejection of the upstream. */
   public synchronized void recordSuccess(PlatformInstance upstream) {
     Load load = load(upstream);
@@ -122,6 +176,32 @@
     load.outstandingAtReport = load.outstanding;
   }
 
+  /**
+   * Records the load that an upstream reported with an answer.
+   *
+   * @param pool pool of the upstream
+   * @param name name of the upstream
+   * @param incarnation start time of the upstream that reports
+   */
+  public synchronized void recordReport(
+      String pool, String name, long incarnation, LoadReport report, long nowMs) {
+    recordReportedLoad(name, report.running() + report.waiting(), nowMs);
+    estimating.ifPresent(
+        e -> e.estimates().recordReport(pool, name, incarnation, report, outstanding(name), nowMs));
+  }
+
+  /** Records the time that an upstream took to answer a request, in milliseconds. */
+  public synchronized void recordResponse(String pool, String name, double responseMs) {
+    estimating.ifPresent(e -> e.estimates().recordResponse(pool, name, responseMs));
+  }
+
+  /** Records the end of a request that the upstream refused without running it. */
+  public synchronized void recordRefusal(PlatformInstance upstream, long nowMs) {
+    int own = --load(upstream).outstanding;
+    estimating.ifPresent(
+        e -> e.estimates().recordRefusal(upstream.getPool(), upstream.getName(), own, nowMs));
+  }
+
   /** Returns the number of requests outstanding from this process at an upstream. */
   public synchronized int outstanding(String name) {
     Load load = loads.get(name);
