Requests and reward calls go to upstreams by estimated load

With balance_by_estimate (set in the template) UpstreamPicker's table chooses by estimate; attempts tell upstreams that a caller waits (X-Urgency-Class); a refusal counts as a report of a full engine. Without it nothing changes: same choice, same headers. Metrics: upstream_choices_total, upstream_choice_wait_seconds, upstream_choice_age_seconds, upstream_full_total; a log line a second at most for choices outside the zone.

--- a/core/src/main/java/org/marigoldmill/core/routing/UpstreamTable.java
+++ b/core/src/main/java/org/marigoldmill/core/routing/UpstreamTable.java
@@ -46,6 +46,9 @@
   public interface DecisionListener {
     /** Called after each choice, with the table locked. */
     void onDecision(String pool, Decision decision);
+
+    /** Called when an upstream has refused a request because it is full, with the table locked. */
+    default void onRefusal(String pool) {}
   }
 
   private record Estimating(
@@ -74,6 +77,11 @@
     return new UpstreamTable(random, Optional.of(new Estimating(estimates, chooser, listener)));
   }
 
+  /** Returns whether upstreams are chosen by estimated load. */
+  public boolean isEstimating() {
+    return estimating.isPresent();
+  }
+
   /** Replaces the list of upstreams; the load of those that remain is kept. */
   public synchronized void replace(List<PlatformInstance> listed) {
     instances = List.copyOf(listed);
@@ -197,9 +205,13 @@
 
   /** Records the end of a request that the upstream refused without running it. */
   public synchronized void recordRefusal(PlatformInstance upstream, long nowMs) {
-    int own = --load(upstream).outstanding;
+    release(upstream);
+    int own = outstanding(upstream.getName());
     estimating.ifPresent(
-        e -> e.estimates().recordRefusal(upstream.getPool(), upstream.getName(), own, nowMs));
+        e -> {
+          e.estimates().recordRefusal(upstream.getPool(), upstream.getName(), own, nowMs);
+          e.listener().onRefusal(upstream.getPool());
+        });
   }
 
   /** Returns the number of requests outstanding from this process at an upstream. */
--- a/server/src/main/java/org/marigoldmill/server/DeploymentInstance.java
+++ b/server/src/main/java/org/marigoldmill/server/DeploymentInstance.java
@@ -40,6 +40,7 @@
 import org.marigoldmill.server.duty.UsageReporter;
 import org.marigoldmill.server.duty.WeightOrderDispatcher;
 import org.marigoldmill.server.gateway.AnswerObserver;
+import org.marigoldmill.server.gateway.ChoiceRecorder;
 import org.marigoldmill.server.gateway.CrashDetector;
 import org.marigoldmill.server.gateway.Forwarder;
 import org.marigoldmill.server.gateway.Gateway;
@@ -100,7 +101,7 @@
   private final AtomicBoolean loggedReady = new AtomicBoolean();
   private final Metrics metrics = new Metrics();
   private final EngineVersions versions = new EngineVersions();
-  private final UpstreamTable upstreams = UpstreamTable.with(RandomGenerator.getDefault());
+  private final UpstreamTable upstreams;
   private final DeploymentState deployment;
   private final EngineRegistry engines;
   private final PartitionFollower operatorFollower;
@@ -126,6 +127,10 @@
     this.settings = settings;
     this.ports = ports;
     this.deployment = new DeploymentState(ports.codec());
+    this.upstreams =
+        settings.getBalanceByEstimate()
+            ? UpstreamTable.estimating(RandomGenerator.getDefault(), new ChoiceRecorder(metrics))
+            : UpstreamTable.with(RandomGenerator.getDefault());
     this.engines = new EngineRegistry(ports.codec(), upstreams, versions);
     LogStore store = new MeteredLogStore(ports.store(), metrics::recordStoreCall);
     this.operatorFollower =
@@ -185,7 +190,7 @@
             store, settings.getInstance(), limits, engines, System::currentTimeMillis, clock);
     AnswerObserver answers =
         new AnswerObserver(ports.upstreams(), engines, upstreams, limits, clock);
-    UpstreamSender sender = new UpstreamSender(client, ports.upstreams(), answers);
+    UpstreamSender sender = new UpstreamSender(client, ports.upstreams(), answers, clock);
     CrashDetector crashDetector =
         new CrashDetector(
             suspects, client, crashes, pathMonitor, pool("crashes", MAX_PROBE_THREADS), clock);
--- a/server/src/main/java/org/marigoldmill/server/Metrics.java
+++ b/server/src/main/java/org/marigoldmill/server/Metrics.java
@@ -49,6 +49,39 @@
           .withoutExemplars()
           .register(registry);
 
+  private final Histogram choiceWaitSeconds =
+      Histogram.builder()
+          .name(PREFIX + "upstream_choice_wait_seconds")
+          .help("Estimated wait for a slot at the upstream chosen, by service")
+          .labelNames("service")
+          .classicOnly()
+          .classicUpperBounds(0.001, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1)
+          .withoutExemplars()
+          .register(registry);
+  private final Histogram choiceAgeSeconds =
+      Histogram.builder()
+          .name(PREFIX + "upstream_choice_age_seconds")
+          .help("Age of the report from which an upstream was chosen, by service; +Inf if none")
+          .labelNames("service")
+          .classicOnly()
+          .classicUpperBounds(0.01, 0.05, 0.1, 0.2, 0.5, 1, 2, 5, 10, 60)
+          .withoutExemplars()
+          .register(registry);
+  private final Counter choicesTotal =
+      Counter.builder()
+          .name(PREFIX + "upstream_choices_total")
+          .help("Choices of an upstream, by service and where it is")
+          .labelNames("service", "outcome")
+          .withoutExemplars()
+          .register(registry);
+  private final Counter fullRefusalsTotal =
+      Counter.builder()
+          .name(PREFIX + "upstream_full_total")
+          .help("Requests that an upstream refused because it was full, by service")
+          .labelNames("service")
+          .withoutExemplars()
+          .register(registry);
+
   private final Counter unsentResponsesTotal =
       Counter.builder()
           .name(PREFIX + "unsent_responses_total")
@@ -80,6 +113,29 @@
     retriesTotal.labelValues(service).inc();
   }
 
+  /**
+   * Records the choice of an upstream.
+   *
+   * @param outcome where the upstream is: in the own zone or another one; or none
+   * @param waitMs estimated wait for a slot there, in milliseconds
+   * @param ageMs age of its last report, in milliseconds
+   */
+  public void recordChoice(String service, String outcome, double waitMs, long ageMs) {
+    choicesTotal.labelValues(service, outcome).inc();
+    choiceWaitSeconds.labelValues(service).observe(waitMs / 1e3);
+    choiceAgeSeconds.labelValues(service).observe(ageMs / 1e3);
+  }
+
+  /** Counts a choice that found no upstream. */
+  public void recordNoChoice(String service) {
+    choicesTotal.labelValues(service, "none").inc();
+  }
+
+  /** Counts a request that an upstream refused because it was full. */
+  public void recordFullRefusal(String service) {
+    fullRefusalsTotal.labelValues(service).inc();
+  }
+
   /** Counts samples of a job with the same outcome. */
   public void recordSamples(String job, String outcome, long count) {
     samplesTotal.labelValues(job, outcome).inc(count);
--- a/server/src/main/java/org/marigoldmill/server/batch/ItemRunner.java
+++ b/server/src/main/java/org/marigoldmill/server/batch/ItemRunner.java
@@ -123,7 +123,8 @@
             item.getBody().toByteArray(),
             Optional.of(task.submission().getOrganisation()),
             text.lastEventId(),
-            ATTEMPT_TIMEOUT_MS);
+            ATTEMPT_TIMEOUT_MS,
+            Optional.empty());
     HttpCall call =
         sender
             .protocol()
--- a/server/src/main/java/org/marigoldmill/server/deployment/UpstreamProtocol.java
+++ b/server/src/main/java/org/marigoldmill/server/deployment/UpstreamProtocol.java
@@ -5,6 +5,7 @@
 import java.util.Optional;
 import java.util.OptionalDouble;
 import java.util.OptionalLong;
+import org.marigoldmill.core.limit.Urgency;
 import org.marigoldmill.core.weights.WeightPlan;
 import org.marigoldmill.http.HttpCall;
 import org.marigoldmill.http.HttpResponse;
@@ -26,6 +27,7 @@
    * @param organisation organisation for which the request runs, if any
    * @param lastEventId id of the last event received, if the attempt resumes a stream
    * @param remainingMs time left until the caller's deadline, in milliseconds
+   * @param urgency which requests go first at the upstream; empty to say nothing of it
    */
   @SuppressWarnings("ArrayRecordComponent")
   record Attempt(
@@ -39,15 +41,18 @@
       byte[] body,
       Optional<String> organisation,
       OptionalLong lastEventId,
-      long remainingMs) {}
+      long remainingMs,
+      Optional<Urgency> urgency) {}
 
   /**
    * The load that an upstream reports with a response.
    *
    * @param running number of requests in progress
    * @param waiting number of queued requests
+   * @param slots maximum number of concurrent requests; 0 if unknown
+   * @param slowdown time that work takes now, as a multiple of the usual time; 1 if unknown
    */
-  record UpstreamLoad(int running, int waiting) {}
+  record UpstreamLoad(int running, int waiting, int slots, double slowdown) {}
 
   /**
    * The status report of an engine, which lags some hundred milliseconds behind.
--- a/server/src/main/java/org/marigoldmill/server/gateway/AnswerObserver.java
+++ b/server/src/main/java/org/marigoldmill/server/gateway/AnswerObserver.java
@@ -2,14 +2,18 @@
 
 import com.google.common.flogger.FluentLogger;
 import java.util.List;
+import java.util.Optional;
 import java.util.OptionalDouble;
+import org.marigoldmill.core.balance.LoadReport;
 import org.marigoldmill.core.limit.EngineLimits;
 import org.marigoldmill.core.limit.NamedLimits;
+import org.marigoldmill.core.placement.Engine;
 import org.marigoldmill.core.routing.UpstreamTable;
 import org.marigoldmill.http.HttpCall;
 import org.marigoldmill.server.Clock;
 import org.marigoldmill.server.deployment.EngineRegistry;
 import org.marigoldmill.server.deployment.UpstreamProtocol;
+import org.marigoldmill.server.deployment.UpstreamProtocol.UpstreamLoad;
 
 /** Records what upstreams say of themselves in the headers of their answers. */
 public final class AnswerObserver {
@@ -42,15 +46,26 @@
     }
   }
 
+  /** Records how long an upstream took to answer a request, in milliseconds. */
+  void recordResponseTime(String engine, long incarnation, long responseMs) {
+    listed(engine, incarnation)
+        .ifPresent(e -> upstreams.recordResponse(e.service(), engine, (double) responseMs));
+  }
+
   /** Records the headers of an answer; those of an upstream that is gone are ignored. */
   public void recordAnswer(String engine, long incarnation, List<HttpCall.Header> headers) {
-    if (!isListed(engine, incarnation)) {
+    Optional<Engine> listed = listed(engine, incarnation);
+    if (listed.isEmpty()) {
       return;
     }
     long now = clock.now();
-    protocol
-        .upstreamLoad(headers)
-        .ifPresent(l -> upstreams.recordReportedLoad(engine, l.running() + l.waiting(), now));
+    String service = listed.get().service();
+    Optional<UpstreamLoad> load = protocol.upstreamLoad(headers);
+    if (load.isPresent()) {
+      UpstreamLoad l = load.get();
+      LoadReport report = new LoadReport(l.running(), l.waiting(), l.slots(), l.slowdown());
+      upstreams.recordReport(service, engine, incarnation, report, now);
+    }
     if (protocol.leaving(headers)) {
       registry.recordLeaving(engine, incarnation);
     }
@@ -60,7 +75,11 @@
   }
 
   private boolean isListed(String engine, long incarnation) {
-    return registry.engine(engine).filter(e -> e.incarnation() == incarnation).isPresent();
+    return listed(engine, incarnation).isPresent();
+  }
+
+  private Optional<Engine> listed(String engine, long incarnation) {
+    return registry.engine(engine).filter(e -> e.incarnation() == incarnation);
   }
 
   private static void logChange(String engine, long incarnation, NamedLimits.Change change) {
--- a/server/src/main/java/org/marigoldmill/server/gateway/Forwarder.java
+++ b/server/src/main/java/org/marigoldmill/server/gateway/Forwarder.java
@@ -40,6 +40,9 @@
   private static final long MIN_FIRST_ATTEMPT_MS = 350;
   private static final long RETRY_DELAY_MS = 15;
 
+  /** Status of an upstream that is full. */
+  private static final int UNAVAILABLE_STATUS = 503;
+
   /** Retry-After that a refused caller gets, in milliseconds. */
   static final long RETRY_AFTER_MS = 200;
 
@@ -81,8 +84,10 @@
      *
      * @param resumeAfter id of the event after which to resume a stream; empty to start anew
      * @param remainingMs time left until the caller's deadline, in milliseconds
+     * @param announced urgency that the upstream is told, if any
      */
-    Attempt attempt(Engine upstream, OptionalLong resumeAfter, long remainingMs) {
+    Attempt attempt(
+        Engine upstream, OptionalLong resumeAfter, long remainingMs, Optional<Urgency> announced) {
       return new Attempt(
           id,
           upstream.id(),
@@ -94,7 +99,8 @@
           body,
           organisation,
           resumeAfter,
-          remainingMs);
+          remainingMs,
+          announced);
     }
 
     /**
@@ -314,7 +320,12 @@
 
     private void attempt(PickedUpstream picked, long remainingMs) {
       record.recordSent();
-      Attempt attempt = request.attempt(picked.engine(), OptionalLong.empty(), remainingMs);
+      Attempt attempt =
+          request.attempt(
+              picked.engine(),
+              OptionalLong.empty(),
+              remainingMs,
+              picker.announced(request.urgency()));
       long timeoutMs = request.route().retryable() ? attemptTimeoutMs(remainingMs) : remainingMs;
       HttpCall call =
           sender
@@ -372,7 +383,7 @@
     private void evaluate(PlatformInstance instance, HttpResponse received) {
       UpstreamProtocol protocol = sender.protocol();
       if (protocol.notRun(received.status(), received.headers())) {
-        upstreams.release(instance);
+        recordRefusal(instance, received.status());
         record.recordNotRun();
         logger.atInfo().log(
             "attempt refused id=%s engine=%s status=%d refusals=%d",
@@ -399,6 +410,14 @@
       response = relay ? Optional.of(received) : Optional.empty();
     }
 
+    private void recordRefusal(PlatformInstance instance, int status) {
+      if (status == UNAVAILABLE_STATUS) {
+        upstreams.recordRefusal(instance, clock.now());
+      } else {
+        upstreams.release(instance);
+      }
+    }
+
     private void recordLost(HttpCallException failure) {
       response = Optional.empty();
       logger.atInfo().log(
--- a/server/src/main/java/org/marigoldmill/server/gateway/StreamForwarder.java
+++ b/server/src/main/java/org/marigoldmill/server/gateway/StreamForwarder.java
@@ -311,7 +311,8 @@
     }
 
     private void send(Engine target, long remainingMs) throws IOException {
-      Attempt attempt = request.attempt(target, lastEvent, remainingMs);
+      Attempt attempt =
+          request.attempt(target, lastEvent, remainingMs, picker.announced(request.urgency()));
       HttpCall call =
           sender
               .protocol()
--- a/server/src/main/java/org/marigoldmill/server/gateway/UpstreamPicker.java
+++ b/server/src/main/java/org/marigoldmill/server/gateway/UpstreamPicker.java
@@ -67,6 +67,11 @@
     this.clock = clock;
   }
 
+  /** Returns the urgency that upstreams are told; empty where they are not chosen by estimate. */
+  Optional<Urgency> announced(Urgency urgency) {
+    return upstreams.isEstimating() ? Optional.of(urgency) : Optional.empty();
+  }
+
   /**
    * Picks an upstream of a service.
    *
--- a/server/src/main/java/org/marigoldmill/server/gateway/UpstreamSender.java
+++ b/server/src/main/java/org/marigoldmill/server/gateway/UpstreamSender.java
@@ -6,6 +6,7 @@
 import org.marigoldmill.http.HttpClient;
 import org.marigoldmill.http.HttpResponse;
 import org.marigoldmill.http.HttpStream;
+import org.marigoldmill.server.Clock;
 import org.marigoldmill.server.deployment.UpstreamProtocol;
 
 /** Sends single attempts and verifies that each response belongs to its request. */
@@ -16,12 +17,15 @@
   private final HttpClient client;
   private final UpstreamProtocol protocol;
   private final AnswerObserver answers;
+  private final Clock clock;
 
   /** Creates a sender. */
-  public UpstreamSender(HttpClient client, UpstreamProtocol protocol, AnswerObserver answers) {
+  public UpstreamSender(
+      HttpClient client, UpstreamProtocol protocol, AnswerObserver answers, Clock clock) {
     this.client = client;
     this.protocol = protocol;
     this.answers = answers;
+    this.clock = clock;
   }
 
   /** Returns the protocol spoken with upstreams. */
@@ -36,6 +40,7 @@
    */
   public HttpStream open(HttpCall call, UpstreamProtocol.Attempt attempt) {
     answers.recordSent(attempt.engineId(), attempt.incarnation());
+    long sentAtMs = clock.now();
     HttpStream stream = client.open(call);
     List<HttpCall.Header> headers = stream.headers();
     if (!protocol.matchesRequest(attempt.requestId(), headers)) {
@@ -51,6 +56,9 @@
           null);
     }
     answers.recordAnswer(attempt.engineId(), attempt.incarnation(), headers);
+    if (stream.status() == 200 && !protocol.notRun(stream.status(), headers)) {
+      answers.recordResponseTime(attempt.engineId(), attempt.incarnation(), clock.now() - sentAtMs);
+    }
     return stream;
   }
 
