Cold engines get no more requests than all instances may send together

Services may name a warm-up: a duration after the start, and a rate that a cold engine accepts. No line of code knew of it; 300 instances that meet an engine just started sent whatever they had.

Who is cold comes from entries, answers and other instances (WarmupTable). A request to a cold engine needs a turn: claimed through the log of request limits, in whose order every instance sees which claims fit (ColdEngineTurns), or one of a small reserve. Claims are entries with a negative start time in the limit report, which builds that know no claims ignore. Warm engines go first. Weight orders and reports take a turn as well.

--- a/core/src/main/java/org/marigoldmill/core/limit/DemandReport.java
+++ b/core/src/main/java/org/marigoldmill/core/limit/DemandReport.java
@@ -8,10 +8,13 @@
  * @param process run of the instance's process; unique
  * @param number number of the report within the process
  * @param engines demand by engine; empty if the instance only tells that it exists
+ * @param claims turns that the instance takes at cold engines
  */
-public record DemandReport(String process, long number, List<EngineDemand> engines) {
-  /** Copies the list. */
+public record DemandReport(
+    String process, long number, List<EngineDemand> engines, List<TurnClaim> claims) {
+  /** Copies the lists. */
   public DemandReport {
     engines = List.copyOf(engines);
+    claims = List.copyOf(claims);
   }
 }
--- a/core/src/main/java/org/marigoldmill/core/limit/EngineLimits.java
+++ b/core/src/main/java/org/marigoldmill/core/limit/EngineLimits.java
@@ -18,8 +18,9 @@
  * <p>Every request to an engine asks {@link #tryAcquire} first. Through the store the instances
  * tell each other which limits they have heard of and how many requests they had for these engines
  * ({@link DemandReport}); everybody sums them up, and {@link LimitShare} is the part of each. The
- * state holds one sum an engine, not one an instance. Times are readings of a monotonic clock in
- * milliseconds.
+ * state holds one sum an engine, not one an instance. At a cold engine a request needs a turn of
+ * {@link ColdEngineTurns} as well, so that the lower of both limits holds. Times are readings of a
+ * monotonic clock in milliseconds.
  */
 public final class EngineLimits {
   /** An engine that accepts nothing would never be heard to accept requests again. */
@@ -110,6 +111,9 @@
   private final Map<String, Long> liftedAtMs = new HashMap<>();
   private final Set<String> instances = new HashSet<>();
   private final ReportPace pace;
+  private final WarmupTable warmups;
+  private final ColdEngineTurns coldTurns;
+  private int knownInstances;
   private Optional<Sent> unconfirmed = Optional.empty();
   private long nextNumber;
   private long heardAtMs;
@@ -119,12 +123,16 @@
    *
    * @param instance name of the instance
    * @param process run of its process; unique
+   * @param warmups which engines are cold
    */
-  public EngineLimits(String instance, String process, RandomGenerator random, long nowMs) {
+  public EngineLimits(
+      String instance, String process, WarmupTable warmups, RandomGenerator random, long nowMs) {
     this.instance = instance;
     this.process = process;
     this.random = random;
     this.pace = new ReportPace(nowMs);
+    this.warmups = warmups;
+    this.coldTurns = new ColdEngineTurns(warmups, random);
     this.heardAtMs = nowMs - MAX_SILENCE_MS;
   }
 
@@ -154,6 +162,7 @@
     named.remove(engine);
     limited.remove(engine);
     liftedAtMs.remove(engine);
+    warmups.remove(engine);
   }
 
   /** Returns whether an engine names a limit. */
@@ -161,8 +170,23 @@
     return limited.containsKey(engine);
   }
 
+  /** Returns whether an engine is cold, so that a warm one with room is to be preferred. */
+  public synchronized boolean isCold(String engine, long nowMs) {
+    return coldTurns.isCold(engine, nowMs);
+  }
+
   /** Counts a request for an engine, and returns whether it may be sent there now. */
   public synchronized boolean tryAcquire(String engine, Urgency urgency, long nowMs) {
+    boolean acquired =
+        coldTurns.available(engine, urgency, knownInstances, nowMs)
+            && tryAcquireNamed(engine, urgency, nowMs);
+    if (acquired) {
+      coldTurns.take(engine, knownInstances, nowMs);
+    }
+    return acquired;
+  }
+
+  private boolean tryAcquireNamed(String engine, Urgency urgency, long nowMs) {
     Limited state = limited.get(engine);
     if (state == null) {
       return true;
@@ -176,9 +200,13 @@
 
   /**
    * Returns how long a request would wait for its turn at an engine, in milliseconds; empty if that
-   * cannot be said, because the instance lets only a part of its requests pass.
+   * cannot be said, because the engine is cold or the instance lets only a part of its requests
+   * pass.
    */
   public synchronized OptionalLong waitMs(String engine, Urgency urgency, long nowMs) {
+    if (coldTurns.isCold(engine, nowMs)) {
+      return OptionalLong.empty();
+    }
     Limited state = limited.get(engine);
     if (state == null) {
       return OptionalLong.of(0);
@@ -200,17 +228,30 @@
   /** Records that the log has been read to its end. */
   public synchronized void recordLogHeard(long nowMs) {
     heardAtMs = nowMs;
+    coldTurns.recordLogHeard(nowMs);
+    if (instances.contains(instance)) {
+      knownInstances = instances.size();
+    }
   }
 
-  /** Applies the report of an instance. */
-  public synchronized void applyReport(String author, DemandReport report, long nowMs) {
+  /**
+   * Applies the report of an instance.
+   *
+   * @param offset offset of the report in the log
+   */
+  public synchronized void applyReport(
+      String author, DemandReport report, long offset, long nowMs) {
     instances.add(author);
-    if (report.engines().isEmpty()) {
+    if (report.engines().isEmpty() && report.claims().isEmpty()) {
       return;
     }
     pace.recordSeen(nowMs);
     report.engines().forEach(d -> applyDemand(d, nowMs));
-    if (report.process().equals(process)) {
+    boolean own = report.process().equals(process);
+    if (!own) {
+      coldTurns.applyOthers(report.claims(), offset, nowMs);
+    } else {
+      coldTurns.applyOwn(report.number(), report.claims(), offset, nowMs);
       unconfirmed = unconfirmed.filter(s -> s.report().number() > report.number());
     }
   }
@@ -223,6 +264,7 @@
   /** Forgets which instances there are, before the log is read anew. */
   public synchronized void resetInstances() {
     instances.clear();
+    coldTurns.recordLogReset();
   }
 
   /** Returns the report to publish now, if any; to be called several times a second. */
@@ -230,12 +272,15 @@
     boolean news =
         !liftedAtMs.isEmpty()
             || limited.values().stream().anyMatch(l -> !l.told && l.hasUnreported());
-    boolean counts = limited.values().stream().anyMatch(Limited::hasUnreported);
+    boolean wanted = coldTurns.wantsTurns(nowMs);
+    boolean counts = wanted || limited.values().stream().anyMatch(Limited::hasUnreported);
     boolean due = (news && pace.mayReportNews(nowMs)) || (counts && pace.mayReport(nowMs));
     if (!due) {
       return Optional.empty();
     }
-    DemandReport report = new DemandReport(process, nextNumber++, takeDemand(nowMs));
+    long number = nextNumber++;
+    List<TurnClaim> claims = coldTurns.takeClaims(number, nowMs);
+    DemandReport report = new DemandReport(process, number, takeDemand(nowMs), claims);
     pace.recordSent(nowMs);
     unconfirmed = Optional.of(unconfirmed.orElse(new Sent(report, nowMs)));
     return Optional.of(report);
@@ -243,7 +288,7 @@
 
   /** Returns the report by which an instance tells that it exists. */
   public synchronized DemandReport presence() {
-    return new DemandReport(process, nextNumber++, List.of());
+    return new DemandReport(process, nextNumber++, List.of(), List.of());
   }
 
   /** A request that is tried again and again counts as often as the engine could accept it. */
--- a/core/src/main/java/org/marigoldmill/core/placement/Engine.java
+++ b/core/src/main/java/org/marigoldmill/core/placement/Engine.java
@@ -15,6 +15,8 @@
  * @param draining whether it finishes its requests and accepts no new ones
  * @param reclaimable whether the platform may reclaim it at short notice
  * @param versions version of the weights by model; empty for an upstream that serves no models
+ * @param warmupLeftMs how long it stays cold from the time on at which this was read, in
+ *     milliseconds; 0 if it is warm, negative if it does not say
  */
 public record Engine(
     String id,
@@ -26,7 +28,8 @@
     int slots,
     boolean draining,
     boolean reclaimable,
-    Map<String, Long> versions) {
+    Map<String, Long> versions,
+    long warmupLeftMs) {
 
   /** Returns this engine as one that accepts no new requests. */
   public Engine asDraining() {
@@ -42,7 +45,8 @@
             slots,
             true,
             reclaimable,
-            versions);
+            versions,
+            warmupLeftMs);
   }
 
   /** Returns the version of a model's weights, or 0 if it does not serve the model. */
--- a/core/src/main/java/org/marigoldmill/core/route/DeploymentConfig.java
+++ b/core/src/main/java/org/marigoldmill/core/route/DeploymentConfig.java
@@ -26,8 +26,18 @@
    * @param name name in the configuration
    * @param models names of the models that its engines serve; empty for a service without models
    * @param maxConnections maximum number of connections to one upstream
+   * @param warmup how its upstreams warm up; empty if they serve at full speed from the start
    */
-  public record Service(String name, List<String> models, int maxConnections) {}
+  public record Service(
+      String name, List<String> models, int maxConnections, Optional<Warmup> warmup) {}
+
+  /**
+   * How the upstreams of a service warm up.
+   *
+   * @param durationMs time for which one is cold after its start, in milliseconds
+   * @param requestsPerSecond requests a second that a cold one accepts from all instances together
+   */
+  public record Warmup(long durationMs, double requestsPerSecond) {}
 
   /**
    * Limits on callers' requests and connections.
--- a/core/src/test/java/org/marigoldmill/core/continuation/ContinuationTest.java
+++ b/core/src/test/java/org/marigoldmill/core/continuation/ContinuationTest.java
@@ -13,7 +13,7 @@
   private static final Optional<String> V1 = Optional.of("v1");
 
   private static Engine engine(String id, String version) {
-    return new Engine(id, 1, "s", version, "a:1", "z", 8, false, false, Map.of());
+    return new Engine(id, 1, "s", version, "a:1", "z", 8, false, false, Map.of(), 0);
   }
 
   private final Engine old = engine("old", "v1");
--- a/core/src/test/java/org/marigoldmill/core/limit/EngineLimitsTest.java
+++ b/core/src/test/java/org/marigoldmill/core/limit/EngineLimitsTest.java
@@ -4,6 +4,7 @@
 
 import java.util.Arrays;
 import java.util.List;
+import java.util.Optional;
 import java.util.OptionalDouble;
 import java.util.Random;
 import java.util.stream.Stream;
@@ -266,7 +267,8 @@
 
   @Nested
   class Answers {
-    private final EngineLimits limits = new EngineLimits("a", "a#1", new Random(1), 0);
+    private final EngineLimits limits =
+        new EngineLimits("a", "a#1", new WarmupTable(s -> Optional.empty()), new Random(1), 0);
 
     @Test
     void should_bind_only_the_incarnation_that_gave_them() {
@@ -307,14 +309,14 @@
     void should_not_be_overruled_by_an_older_report() {
       limits.recordAnswer("e", 5, OptionalDouble.empty(), 2_000);
       EngineDemand older = new EngineDemand("e", 5, 3, 0, OptionalDouble.of(1), 500);
-      limits.applyReport("b", new DemandReport("b#1", 1, List.of(older)), 2_100);
+      limits.applyReport("b", new DemandReport("b#1", 1, List.of(older), List.of()), 0, 2_100);
       assertThat(limits.isLimited("e")).isFalse();
     }
 
     @Test
     void should_be_believed_when_another_instance_reports_them() {
       EngineDemand report = new EngineDemand("e", 5, 3, 0, OptionalDouble.of(1), 0);
-      limits.applyReport("b", new DemandReport("b#1", 1, List.of(report)), 2_100);
+      limits.applyReport("b", new DemandReport("b#1", 1, List.of(report), List.of()), 0, 2_100);
       assertThat(limits.isLimited("e")).isTrue();
     }
   }
--- a/core/src/test/java/org/marigoldmill/core/limit/SimulatedFleet.java
+++ b/core/src/test/java/org/marigoldmill/core/limit/SimulatedFleet.java
@@ -4,8 +4,11 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.OptionalDouble;
 import java.util.Random;
+import org.marigoldmill.core.placement.Engine;
+import org.marigoldmill.core.route.DeploymentConfig;
 
 /**
  * Instances that share the limit of one engine through a simulated log, in virtual time.
@@ -25,8 +28,10 @@
   /** An instance with the demand that its callers and its submissions have for the engine. */
   final class Instance {
     private final String name;
+    private final WarmupTable warmups = new WarmupTable(service -> warmup);
     private final EngineLimits limits;
     private final long phaseMs;
+    private long learnsAtMs = Long.MAX_VALUE;
     private int nextRecord;
     private boolean cut;
     double callsPerSecond;
@@ -37,7 +42,8 @@
 
     private Instance(int number) {
       this.name = "instance-" + number;
-      this.limits = new EngineLimits(name, name + "#1", new Random(random.nextLong()), nowMs);
+      this.limits =
+          new EngineLimits(name, name + "#1", warmups, new Random(random.nextLong()), nowMs);
       this.phaseMs = random.nextInt((int) READ_PAUSE_MS);
     }
 
@@ -47,6 +53,10 @@
     }
 
     private void step() {
+      if (learnsAtMs <= nowMs) {
+        learnsAtMs = Long.MAX_VALUE;
+        warmups.recordEntry(entry(coldUntilMs - nowMs), nowMs, nowMs);
+      }
       if (!cut && (nowMs + phaseMs) % READ_PAUSE_MS < STEP_MS) {
         read();
       }
@@ -59,9 +69,10 @@
 
     private void read() {
       while (nextRecord < log.size() && log.get(nextRecord).readableAtMs() <= nowMs) {
-        LogRecord next = log.get(nextRecord++);
+        int offset = nextRecord++;
+        LogRecord next = log.get(offset);
         records++;
-        limits.applyReport(next.author(), next.report(), nowMs);
+        limits.applyReport(next.author(), next.report(), offset, nowMs);
       }
       if (!logSilent) {
         limits.recordLogHeard(nowMs);
@@ -77,7 +88,7 @@
     }
 
     private void send(Urgency urgency) {
-      boolean limited = limits.isLimited(ENGINE);
+      boolean limited = limits.isLimited(ENGINE) || limits.isCold(ENGINE, nowMs);
       if (!limits.tryAcquire(ENGINE, urgency, nowMs)) {
         refusedCalls += urgency == Urgency.CALL ? 1 : 0;
         return;
@@ -96,6 +107,8 @@
   private final List<LogRecord> log = new ArrayList<>();
   private final List<Long> received = new ArrayList<>();
   private OptionalDouble engineLimit = OptionalDouble.empty();
+  private Optional<DeploymentConfig.Warmup> warmup = Optional.empty();
+  private long coldUntilMs;
   private boolean logSilent;
   private long nowMs = 1_000_000;
   private long records;
@@ -117,6 +130,23 @@
             : OptionalDouble.of(requestsPerSecond);
   }
 
+  /**
+   * Makes the engine cold for some time.
+   *
+   * @param requestsPerSecond requests a second that it accepts meanwhile
+   * @param learnMs time within which each instance reads its entry, cut off or not
+   */
+  void becomeCold(double requestsPerSecond, long durationMs, int learnMs) {
+    warmup = Optional.of(new DeploymentConfig.Warmup(durationMs, requestsPerSecond));
+    coldUntilMs = nowMs + durationMs;
+    instances.forEach(i -> i.learnsAtMs = nowMs + random.nextInt(learnMs));
+  }
+
+  private static Engine entry(long warmupLeftMs) {
+    return new Engine(
+        ENGINE, INCARNATION, "s", "v1", "a:1", "z", 8, false, false, Map.of(), warmupLeftMs);
+  }
+
   /** Makes the log lose all appends, or store them again. */
   void logSilent(boolean value) {
     logSilent = value;
@@ -143,10 +173,15 @@
 
   /** Returns the most requests that told instances sent in some four seconds. */
   int mostInFourSeconds() {
+    return mostWithin(4_000);
+  }
+
+  /** Returns the most requests that told instances sent within some period of a length. */
+  int mostWithin(long periodMs) {
     int most = 0;
     int first = 0;
     for (int i = 0; i < received.size(); i++) {
-      while (received.get(i) - received.get(first) >= 4_000) {
+      while (received.get(i) - received.get(first) >= periodMs) {
         first++;
       }
       most = Math.max(most, i - first + 1);
--- a/server/src/main/java/org/marigoldmill/server/DeploymentInstance.java
+++ b/server/src/main/java/org/marigoldmill/server/DeploymentInstance.java
@@ -18,8 +18,10 @@
 import java.util.function.LongSupplier;
 import java.util.random.RandomGenerator;
 import org.marigoldmill.core.limit.EngineLimits;
+import org.marigoldmill.core.limit.WarmupTable;
 import org.marigoldmill.core.quarantine.SuspectTable;
 import org.marigoldmill.core.relay.RelayPeers;
+import org.marigoldmill.core.route.DeploymentConfig;
 import org.marigoldmill.core.routing.UpstreamTable;
 import org.marigoldmill.core.weights.EngineVersions;
 import org.marigoldmill.core.weights.LoadQueue;
@@ -32,6 +34,7 @@
 import org.marigoldmill.server.deployment.DeploymentState;
 import org.marigoldmill.server.deployment.EngineRegistry;
 import org.marigoldmill.server.deployment.PlatformPorts;
+import org.marigoldmill.server.duty.ColdEngineMonitor;
 import org.marigoldmill.server.duty.CrashLog;
 import org.marigoldmill.server.duty.DutyLeaseHolder;
 import org.marigoldmill.server.duty.FleetLog;
@@ -115,6 +118,7 @@
   private final InstanceDirectory directory;
   private final EngineLimits limits;
   private final LimitLog limitLog;
+  private final ColdEngineMonitor coldEngines;
   private final StreamOrigins origins;
   private final Rollouts rollouts;
   private final DutyCandidacy duties;
@@ -176,15 +180,24 @@
     this.directory =
         new InstanceDirectory(
             store, settings, peers, pathMonitor, System::currentTimeMillis, clock);
+    final WarmupTable warmups =
+        new WarmupTable(
+            name ->
+                deployment
+                    .config()
+                    .flatMap(c -> c.service(name))
+                    .flatMap(DeploymentConfig.Service::warmup));
     this.limits =
         new EngineLimits(
-            settings.getInstance(), process, RandomGenerator.getDefault(), clock.now());
+            settings.getInstance(), process, warmups, RandomGenerator.getDefault(), clock.now());
     engines.addRemovalListener(limits::remove);
+    engines.addEntryListener(e -> warmups.recordEntry(e, System.currentTimeMillis(), clock.now()));
+    this.coldEngines = new ColdEngineMonitor(warmups, clock);
     this.limitLog =
         new LimitLog(
             store, settings.getInstance(), limits, engines, System::currentTimeMillis, clock);
     AnswerObserver answers =
-        new AnswerObserver(ports.upstreams(), engines, upstreams, limits, clock);
+        new AnswerObserver(ports.upstreams(), engines, upstreams, limits, warmups, clock);
     UpstreamSender sender = new UpstreamSender(client, ports.upstreams(), answers);
     CrashDetector crashDetector =
         new CrashDetector(
@@ -411,6 +424,7 @@
     metrics.registerGauge("open_requests", "Requests in progress", servers::openRequests);
     metrics.registerGauge(
         "running_items", "Items that are being generated", rollouts::runningAttempts);
+    metrics.registerGauge("cold_engines", "Engines that are warming up", coldEngines::count);
     metrics.registerGauge(
         "partitions_followed", "Partitions that are followed", partitions::followedCount);
     metrics.registerGauge(
@@ -469,7 +483,13 @@
     startTask(duties::intervalMs, "weight-plan", rollouts::planWeights);
     startTask(DIRECTORY_INTERVAL_MS, "instances", directory::publishDue);
     startTask(0, "upstream-path", () -> pathMonitor.checkOnce(client));
-    startTask(LIMIT_REPORT_INTERVAL_MS, "limits", limitLog::publishDue);
+    startTask(
+        LIMIT_REPORT_INTERVAL_MS,
+        "limits",
+        () -> {
+          coldEngines.logChanges();
+          limitLog.publishDue();
+        });
     startTask(
         ORIGINS_INTERVAL_MS,
         "origins",
--- a/server/src/main/java/org/marigoldmill/server/batch/RolloutScheduler.java
+++ b/server/src/main/java/org/marigoldmill/server/batch/RolloutScheduler.java
@@ -253,15 +253,22 @@
    * @param atLimit engines without a turn in this round; extended
    */
   private Optional<Engine> acquire(List<Engine> suitable, Set<String> atLimit, long now) {
-    Optional<Engine> chosen = loads.acquire(without(suitable, atLimit), zone, now);
+    Optional<Engine> chosen = reserve(suitable, atLimit, now);
     while (chosen.isPresent() && !limits.tryAcquire(chosen.get().id(), Urgency.BACKGROUND, now)) {
       loads.release(chosen.get().id());
       atLimit.add(chosen.get().id());
-      chosen = loads.acquire(without(suitable, atLimit), zone, now);
+      chosen = reserve(suitable, atLimit, now);
     }
     return chosen;
   }
 
+  /** Reserves a slot, at a cold engine only if no warm one has room. */
+  private Optional<Engine> reserve(List<Engine> suitable, Set<String> atLimit, long now) {
+    List<Engine> candidates = without(suitable, atLimit);
+    List<Engine> warm = candidates.stream().filter(e -> !limits.isCold(e.id(), now)).toList();
+    return loads.acquire(warm, zone, now).or(() -> loads.acquire(candidates, zone, now));
+  }
+
   private static List<Engine> without(List<Engine> engines, Set<String> excluded) {
     return excluded.isEmpty()
         ? engines
@@ -313,7 +320,7 @@
         engines.stream()
             .filter(e -> !versions.loading(e.id(), model, now))
             .filter(e -> versions.expectedVersion(e.id(), model, now) >= minVersion)
-            .filter(e -> !limits.isLimited(e.id()))
+            .filter(e -> !limits.isLimited(e.id()) && !limits.isCold(e.id(), now))
             .filter(e -> e.softwareVersion().equals(software))
             .map(
                 e ->
--- a/server/src/main/java/org/marigoldmill/server/deployment/EngineRegistry.java
+++ b/server/src/main/java/org/marigoldmill/server/deployment/EngineRegistry.java
@@ -26,6 +26,7 @@
   private final EngineVersions versions;
   private final Map<String, Engine> engines = new ConcurrentHashMap<>();
   private final List<Consumer<String>> removalListeners = new CopyOnWriteArrayList<>();
+  private final List<Consumer<Engine>> entryListeners = new CopyOnWriteArrayList<>();
   private volatile Map<String, Map<String, Integer>> softwareVersions = Map.of();
   private volatile List<String> addresses = List.of();
   private final LeavingEngines leaving = new LeavingEngines();
@@ -43,6 +44,11 @@
     removalListeners.add(listener);
   }
 
+  /** Registers a listener, called with each entry that has been read, before it takes effect. */
+  public void addEntryListener(Consumer<Engine> listener) {
+    entryListeners.add(listener);
+  }
+
   /** Returns the upstream with an id. */
   public Optional<Engine> engine(String id) {
     return Optional.ofNullable(engines.get(id));
@@ -126,6 +132,7 @@
       versions.remove(engine.id());
       notifyRemoved(engine.id());
     }
+    entryListeners.forEach(l -> l.accept(engine));
     engines.put(engine.id(), engine);
     engine.versions().forEach((model, v) -> versions.recordReportedVersion(engine.id(), model, v));
     if (before == null || before.draining() != engine.draining()) {
--- a/server/src/main/java/org/marigoldmill/server/deployment/UpstreamProtocol.java
+++ b/server/src/main/java/org/marigoldmill/server/deployment/UpstreamProtocol.java
@@ -97,6 +97,12 @@
    */
   OptionalDouble requestLimit(List<HttpCall.Header> headers);
 
+  /**
+   * Returns how long the upstream stays cold from this response on, in milliseconds, and 0 if it is
+   * warm; empty if the response does not say.
+   */
+  OptionalLong warmupLeftMs(List<HttpCall.Header> headers);
+
   /** Returns whether the upstream says in this response that it leaves. */
   boolean leaving(List<HttpCall.Header> headers);
 
--- a/server/src/main/java/org/marigoldmill/server/duty/LimitLog.java
+++ b/server/src/main/java/org/marigoldmill/server/duty/LimitLog.java
@@ -10,6 +10,7 @@
 import org.marigoldmill.core.limit.DemandReport;
 import org.marigoldmill.core.limit.EngineDemand;
 import org.marigoldmill.core.limit.EngineLimits;
+import org.marigoldmill.core.limit.TurnClaim;
 import org.marigoldmill.core.submission.KeyedRecord;
 import org.marigoldmill.schema.fleet.LimitReport;
 import org.marigoldmill.schema.fleet.LimitedEngine;
@@ -99,7 +100,7 @@
     }
     try {
       LimitReport report = LimitReport.parseFrom(stored.value().get());
-      limits.applyReport(stored.key(), toReport(report), clock.now());
+      limits.applyReport(stored.key(), toReport(report), stored.offset(), clock.now());
     } catch (InvalidProtocolBufferException e) {
       throw new IllegalArgumentException("malformed limit report: " + e.getMessage(), e);
     }
@@ -131,6 +132,7 @@
             .setNumber(report.number())
             .setPublishedUnixMs(unixMs.getAsLong());
     report.engines().forEach(d -> message.addEngines(toMessage(d)));
+    report.claims().forEach(c -> message.addEngines(toMessage(c)));
     return message.build();
   }
 
@@ -146,14 +148,48 @@
     return message.build();
   }
 
+  /**
+   * Encodes a claim as the entry of an engine with a negative start time, the complement of its
+   * real one. Builds that know no claims find no such engine, and ignore the entry.
+   */
+  private static LimitedEngine toMessage(TurnClaim claim) {
+    return LimitedEngine.newBuilder()
+        .setEngine(claim.engine())
+        .setIncarnation(~claim.incarnation())
+        .setCalls(claim.turns())
+        .setBackground((double) claim.readTo())
+        .setLimit(claim.budget())
+        .setLimitAgeMs(claim.warmupLeftMs())
+        .build();
+  }
+
+  private static TurnClaim toClaim(LimitedEngine message) {
+    return new TurnClaim(
+        message.getEngine(),
+        ~message.getIncarnation(),
+        (int) message.getCalls(),
+        (int) message.getLimit(),
+        (long) message.getBackground(),
+        message.getLimitAgeMs());
+  }
+
+  private static boolean isClaim(LimitedEngine message) {
+    return message.getIncarnation() < 0;
+  }
+
   private DemandReport toReport(LimitReport message) {
     boolean recent = unixMs.getAsLong() - message.getPublishedUnixMs() <= MAX_REPORT_AGE_MS;
     List<EngineDemand> engines =
         message.getEnginesList().stream()
-            .filter(e -> recent && isPresent(e))
+            .filter(e -> recent && !isClaim(e) && isPresent(e))
             .map(LimitLog::toDemand)
             .toList();
-    return new DemandReport(message.getProcess(), message.getNumber(), engines);
+    List<TurnClaim> claims =
+        message.getEnginesList().stream()
+            .filter(e -> recent && isClaim(e))
+            .map(LimitLog::toClaim)
+            .toList();
+    return new DemandReport(message.getProcess(), message.getNumber(), engines, claims);
   }
 
   private boolean isPresent(LimitedEngine message) {
--- a/server/src/main/java/org/marigoldmill/server/duty/WeightOrderDispatcher.java
+++ b/server/src/main/java/org/marigoldmill/server/duty/WeightOrderDispatcher.java
@@ -96,11 +96,17 @@
       loads.remove(order);
       return;
     }
+    if (!ordersAccepted.containsKey(incarnation(engine)) && !takeTurn(engine)) {
+      return;
+    }
     Optional<Long> expectedOrders = expectedOrders(engine);
     if (expectedOrders.isEmpty()) {
       pausedUntilMs.put(engine.id(), clock.now() + RETRY_DELAY_MS);
       return;
     }
+    if (!takeTurn(engine)) {
+      return;
+    }
     long expectedCount = expectedOrders.get();
     final long epoch = lease.requireFencingToken(SEND_TIMEOUT_MS);
     HttpCall call =
@@ -176,9 +182,19 @@
     }
   }
 
-  /** Sends without delay, but takes a turn, so that other requests make room. */
-  private HttpResponse exchange(Engine engine, HttpCall call) {
+  /**
+   * Takes a turn for a call: the next one without waiting for it, so that other requests make room,
+   * but at a cold engine only one that is there.
+   */
+  private boolean takeTurn(Engine engine) {
+    if (limits.isCold(engine.id(), clock.now())) {
+      return limits.tryAcquire(engine.id(), Urgency.BACKGROUND, clock.now());
+    }
     limits.acquireAhead(engine.id(), Urgency.BACKGROUND, clock.now());
+    return true;
+  }
+
+  private HttpResponse exchange(Engine engine, HttpCall call) {
     answers.recordSent(engine.id(), engine.incarnation());
     HttpResponse response = client.exchange(call);
     answers.recordAnswer(engine.id(), engine.incarnation(), response.headers());
--- a/server/src/main/java/org/marigoldmill/server/gateway/AnswerObserver.java
+++ b/server/src/main/java/org/marigoldmill/server/gateway/AnswerObserver.java
@@ -5,6 +5,7 @@
 import java.util.OptionalDouble;
 import org.marigoldmill.core.limit.EngineLimits;
 import org.marigoldmill.core.limit.NamedLimits;
+import org.marigoldmill.core.limit.WarmupTable;
 import org.marigoldmill.core.routing.UpstreamTable;
 import org.marigoldmill.http.HttpCall;
 import org.marigoldmill.server.Clock;
@@ -19,6 +20,7 @@
   private final EngineRegistry registry;
   private final UpstreamTable upstreams;
   private final EngineLimits limits;
+  private final WarmupTable warmups;
   private final Clock clock;
 
   /** Creates an observer. */
@@ -27,11 +29,13 @@
       EngineRegistry registry,
       UpstreamTable upstreams,
       EngineLimits limits,
+      WarmupTable warmups,
       Clock clock) {
     this.protocol = protocol;
     this.registry = registry;
     this.upstreams = upstreams;
     this.limits = limits;
+    this.warmups = warmups;
     this.clock = clock;
   }
 
@@ -54,6 +58,9 @@
     if (protocol.leaving(headers)) {
       registry.recordLeaving(engine, incarnation);
     }
+    protocol
+        .warmupLeftMs(headers)
+        .ifPresent(ms -> warmups.recordAnswer(engine, incarnation, ms, now));
     limits
         .recordAnswer(engine, incarnation, protocol.requestLimit(headers), now)
         .ifPresent(c -> logChange(engine, incarnation, c));
--- a/server/src/main/java/org/marigoldmill/server/gateway/UpstreamPicker.java
+++ b/server/src/main/java/org/marigoldmill/server/gateway/UpstreamPicker.java
@@ -68,7 +68,7 @@
   }
 
   /**
-   * Picks an upstream of a service.
+   * Picks an upstream of a service; one that is cold only if no other can take the request.
    *
    * @param service service that runs the request
    * @param eligible whether an upstream may be picked
@@ -76,20 +76,34 @@
    */
   Pick pick(String service, Urgency urgency, Predicate<Engine> eligible, long maxWaitMs) {
     Set<String> denied = new HashSet<>();
-    while (denied.size() < MAX_LIMITS_ASKED) {
+    Predicate<Engine> warm = e -> eligible.test(e) && !limits.isCold(e.id(), clock.now());
+    return pickNow(service, urgency, warm, denied)
+        .or(() -> pickNow(service, urgency, eligible, denied))
+        .map(Pick::of)
+        .orElseGet(() -> pickAhead(service, urgency, denied, maxWaitMs));
+  }
+
+  /**
+   * Picks an upstream that may be sent the request now.
+   *
+   * @param denied upstreams without a turn for the request; extended
+   */
+  private Optional<PickedUpstream> pickNow(
+      String service, Urgency urgency, Predicate<Engine> eligible, Set<String> denied) {
+    for (int asked = 0; asked < MAX_LIMITS_ASKED; asked++) {
       Optional<PickedUpstream> next =
           acquire(service, e -> eligible.test(e) && !denied.contains(e.id()));
       if (next.isEmpty()) {
-        break;
+        return next;
       }
       String name = next.get().engine().id();
       if (limits.tryAcquire(name, urgency, clock.now())) {
-        return Pick.of(next.get());
+        return next;
       }
       upstreams.release(next.get().instance());
       denied.add(name);
     }
-    return pickAhead(service, urgency, denied, maxWaitMs);
+    return Optional.empty();
   }
 
   /** Takes the next turn at one of the upstreams that denied the request, if it comes in time. */
--- a/server/src/test/java/org/marigoldmill/server/deployment/TextCodec.java
+++ b/server/src/test/java/org/marigoldmill/server/deployment/TextCodec.java
@@ -48,7 +48,8 @@
             1,
             draining,
             false,
-            Map.of()));
+            Map.of(),
+            0));
   }
 
   private static long number(byte[] value) {
