--- a/server/src/main/java/org/marigoldmill/server/gateway/AnswerObserver.java
+++ b/server/src/main/java/org/marigoldmill/server/gateway/AnswerObserver.java
@@ -7,6 +7,7 @@
 import org.marigoldmill.core.balance.LoadReport;
 import org.marigoldmill.core.limit.EngineLimits;
 import org.marigoldmill.core.limit.NamedLimits;
+import org.marigoldmill.core.limit.WarmupTable;
 import org.marigoldmill.core.placement.Engine;
 import org.marigoldmill.core.routing.UpstreamTable;
 import org.marigoldmill.http.HttpCall;
@@ -23,6 +24,7 @@
   private final EngineRegistry registry;
   private final UpstreamTable upstreams;
   private final EngineLimits limits;
+  private final WarmupTable warmups;
   private final Clock clock;
 
   /** Creates an observer. */
@@ -31,11 +33,13 @@
       EngineRegistry registry,
       UpstreamTable upstreams,
       EngineLimits limits,
+      WarmupTable warmups,
       Clock clock) {
     this.protocol = protocol;
     this.registry = registry;
     this.upstreams = upstreams;
     this.limits = limits;
+    this.warmups = warmups;
     this.clock = clock;
   }
 
@@ -69,6 +73,9 @@
     if (protocol.leaving(headers)) {
       registry.recordLeaving(engine, incarnation);
     }
+    protocol
+        .warmupLeftMs(headers)
+        .ifPresent(ms -> warmups.recordAnswer(engine, incarnation, ms, now));
     limits
         .recordAnswer(engine, incarnation, protocol.requestLimit(headers), now)
         .ifPresent(c -> logChange(engine, incarnation, c));
--- a/server/src/test/java/org/marigoldmill/server/deployment/TextCodec.java
+++ b/server/src/test/java/org/marigoldmill/server/deployment/TextCodec.java
@@ -56,7 +56,8 @@
             1,
             draining,
             false,
-            Map.of()));
+            Map.of(),
+            0));
   }
 
   private static long number(byte[] value) {
