Engines are ordered and given back per zone by demand

Callers saw: when the reclaimable engines of a zone are taken away, trainers' groups are late for the seconds that it lasts, although engines are to be had in other zones. Cause: nobody orders engines.

EngineDemandPlanner (core.supply) decides from the engines registered and the engines that open items need to be in time. Owners of models publish that need, only while it exceeds what they have or engines are ordered; the holder of the duty lease publishes each number before it orders it. Takes effect with order_engines and a service with autoscale.

Schema: NeededEngines, OrderedEngines and DeploymentSettings.order_engines (23).

UsageReporterTest: DutyApi has two methods now; the same checks in an anonymous class in place of a method reference.

Evidence: EngineDemandPlannerTest plays reclaim, refusal, lost and late answers, succession, swinging demand in virtual time.

--- a/core/src/main/java/org/marigoldmill/core/route/DeploymentConfig.java
+++ b/core/src/main/java/org/marigoldmill/core/route/DeploymentConfig.java
@@ -26,8 +26,34 @@
    * @param name name in the configuration
    * @param models names of the models that its engines serve; empty for a service without models
    * @param maxConnections maximum number of connections to one upstream
+   * @param autoscale how many engines may be ordered; empty if none
    */
-  public record Service(String name, List<String> models, int maxConnections) {}
+  public record Service(
+      String name, List<String> models, int maxConnections, Optional<Autoscale> autoscale) {}
+
+  /**
+   * How many engines of a service may be ordered, and what they cost.
+   *
+   * @param min minimum number of engines in an availability zone
+   * @param max maximum number of engines in an availability zone, reclaimable ones included
+   * @param startupMs time after which an ordered engine serves, in milliseconds
+   * @param priceByZone price of an engine by availability zone; 1 in others
+   * @param reclaimablePrice price of a reclaimable engine, as a share of that of others; 1 if none
+   *     are offered
+   */
+  public record Autoscale(
+      int min, int max, long startupMs, Map<String, Double> priceByZone, double reclaimablePrice) {
+
+    /** Returns whether reclaimable engines can be ordered. */
+    public boolean offersReclaimable() {
+      return reclaimablePrice < 1;
+    }
+
+    /** Returns the price of an engine in a pool. */
+    public double price(String zone, boolean reclaimable) {
+      return priceByZone.getOrDefault(zone, 1.0) * (reclaimable ? reclaimablePrice : 1);
+    }
+  }
 
   /**
    * Limits on callers' requests and connections.
--- /dev/null
+++ b/core/src/main/java/org/marigoldmill/core/supply/EngineNeed.java
@@ -0,0 +1,51 @@
+package org.marigoldmill.core.supply;
+
+import java.util.Comparator;
+import java.util.List;
+
+/**
+ * Calculates how many engines the open work of a model needs to be in time.
+ *
+ * <p>Answers the load of steps that are heavier than the present engines can finish until they are
+ * due, and of steps that lose engines while they run.
+ */
+public final class EngineNeed {
+  /**
+   * Work of the open items of a submission.
+   *
+   * @param dueInMs time until its results are due, in milliseconds; negative if they are late
+   * @param events number of events that have still to be generated
+   */
+  public record Work(long dueInMs, double events) {}
+
+  private EngineNeed() {}
+
+  /**
+   * Returns the number of engines that finish all work until it is due, earliest due time first.
+   *
+   * <p>This is the largest quotient, over all due times, of the work due until then and what one
+   * engine generates until then. Work that is late or nearly due counts as due after the startup
+   * time, because no engine ordered now can finish it sooner.
+   *
+   * @param eventsPerMs events that a busy engine generates in a millisecond, positive
+   * @param startupMs time after which an ordered engine serves, in milliseconds, positive
+   */
+  public static double engines(List<Work> works, double eventsPerMs, long startupMs) {
+    if (!(eventsPerMs > 0) || startupMs <= 0) {
+      throw new IllegalArgumentException(
+          "expected a positive speed and startup time but got "
+              + eventsPerMs
+              + " events/ms and "
+              + startupMs
+              + " ms");
+    }
+    double needed = 0;
+    double events = 0;
+    List<Work> byDueTime = works.stream().sorted(Comparator.comparingLong(Work::dueInMs)).toList();
+    for (Work work : byDueTime) {
+      events += work.events();
+      needed = Math.max(needed, events / (eventsPerMs * Math.max(startupMs, work.dueInMs())));
+    }
+    return needed;
+  }
+}
--- a/server/src/main/java/org/marigoldmill/server/DeploymentInstance.java
+++ b/server/src/main/java/org/marigoldmill/server/DeploymentInstance.java
@@ -30,10 +30,13 @@
 import org.marigoldmill.server.batch.Rollouts;
 import org.marigoldmill.server.batch.SubmissionPartitions;
 import org.marigoldmill.server.deployment.DeploymentState;
+import org.marigoldmill.server.deployment.DutyApi;
 import org.marigoldmill.server.deployment.EngineRegistry;
 import org.marigoldmill.server.deployment.PlatformPorts;
 import org.marigoldmill.server.duty.CrashLog;
 import org.marigoldmill.server.duty.DutyLeaseHolder;
+import org.marigoldmill.server.duty.EngineOrderDispatcher;
+import org.marigoldmill.server.duty.EngineOrderLog;
 import org.marigoldmill.server.duty.FleetLog;
 import org.marigoldmill.server.duty.LimitLog;
 import org.marigoldmill.server.duty.UsageCounter;
@@ -109,6 +112,7 @@
   private final RolloutMembership membership;
   private final DutyLeaseHolder lease;
   private final FleetLog fleet;
+  private final EngineOrderLog engineOrders;
   private final CrashLog crashes;
   private final UpstreamPathMonitor pathMonitor;
   private final RelayPeers peers;
@@ -168,6 +172,7 @@
             this::fleetReadPauseMs,
             System::currentTimeMillis,
             clock);
+    this.engineOrders = new EngineOrderLog(store, clock);
     this.crashes = new CrashLog(store, settings.getInstance(), suspects, clock);
     this.pathMonitor = new UpstreamPathMonitor(engines, RandomGenerator.getDefault(), clock);
     final HttpClient client = register(HttpClient.forUpstreams("upstreams", 1, pathMonitor));
@@ -208,13 +213,15 @@
             forwarder,
             limits,
             fleet,
+            engineOrders,
             pool("items", MAX_ITEM_THREADS),
             pathMonitor::isLost,
             metrics,
             settings.getZone(),
             clock);
     this.duties =
-        new DutyCandidacy(membership, lease, rollouts, partitions, pathMonitor, peers, clock);
+        new DutyCandidacy(
+            membership, lease, rollouts, partitions, deployment, pathMonitor, peers, clock);
     UsageCounter usage = new UsageCounter(settings.getUsageWindowMs(), System::currentTimeMillis);
     SubmissionService submissions =
         new SubmissionService(
@@ -476,6 +483,9 @@
         () -> origins.update(lease.remainsHeldFor(ORIGINS_INTERVAL_MS)));
     startTask(EXPIRY_INTERVAL_MS, "expiry", this::expireSubmissions);
     startTask(DISCONNECT_CHECK_INTERVAL_MS, "caller-watch", gateway::detectDisconnects);
+    if (settings.getOrderEngines()) {
+      ports.dutyApi().ifPresent(this::startEngineOrders);
+    }
     if (settings.getUsageWindowMs() > 0 && ports.dutyApi().isPresent()) {
       UsageReporter usageReporter =
           new UsageReporter(
@@ -492,6 +502,23 @@
     }
   }
 
+  private void startEngineOrders(DutyApi api) {
+    EngineOrderDispatcher dispatcher =
+        new EngineOrderDispatcher(
+            lease,
+            deployment,
+            engines,
+            engineFollower,
+            engineOrders,
+            api,
+            metrics,
+            settings.getInstance(),
+            clock);
+    startTask(0, "engine-order-log", () -> duties.followEngineOrders(engineOrders.follower()));
+    startTask(duties::engineOrdersIntervalMs, "engine-orders", dispatcher::sendOrders);
+    startTask(duties::engineOrdersIntervalMs, "engine-needs", rollouts::publishEngineNeeds);
+  }
+
   /** Deletes submissions past their retention in the partitions that this instance holds. */
   private void expireSubmissions() {
     long acceptedBeforeUnixMs =
--- a/server/src/main/java/org/marigoldmill/server/DutyCandidacy.java
+++ b/server/src/main/java/org/marigoldmill/server/DutyCandidacy.java
@@ -6,6 +6,7 @@
 import org.marigoldmill.server.batch.RolloutMembership;
 import org.marigoldmill.server.batch.Rollouts;
 import org.marigoldmill.server.batch.SubmissionPartitions;
+import org.marigoldmill.server.deployment.DeploymentState;
 import org.marigoldmill.server.duty.DutyLeaseHolder;
 import org.marigoldmill.server.reachability.UpstreamPathMonitor;
 import org.marigoldmill.server.store.PartitionFollower;
@@ -24,6 +25,7 @@
   private static final long IDLE_INTERVAL_MS = 500;
   private static final long USAGE_INTERVAL_MS = 100;
   private static final long IDLE_USAGE_INTERVAL_MS = 250;
+  private static final long ENGINE_ORDERS_INTERVAL_MS = 250;
   private static final long FLEET_READ_PAUSE_MS = 100;
   private static final long ENGINE_READ_PAUSE_MS = 200;
   private static final long IDLE_ENGINE_READ_PAUSE_MS = 500;
@@ -32,6 +34,7 @@
   private final DutyLeaseHolder lease;
   private final Rollouts rollouts;
   private final SubmissionPartitions partitions;
+  private final DeploymentState deployment;
   private final UpstreamPathMonitor path;
   private final RelayPeers peers;
   private final DutyHandover handover;
@@ -43,6 +46,7 @@
       DutyLeaseHolder lease,
       Rollouts rollouts,
       SubmissionPartitions partitions,
+      DeploymentState deployment,
       UpstreamPathMonitor path,
       RelayPeers peers,
       Clock clock) {
@@ -50,6 +54,7 @@
     this.lease = lease;
     this.rollouts = rollouts;
     this.partitions = partitions;
+    this.deployment = deployment;
     this.path = path;
     this.peers = peers;
     this.handover = new DutyHandover(clock.now());
@@ -84,6 +89,25 @@
     }
   }
 
+  /**
+   * Reads the log of ordered engines while this instance schedules items or holds the lease and
+   * engines of a service may be ordered, else waits.
+   */
+  void followEngineOrders(PartitionFollower follower) throws InterruptedException {
+    long changeCount = partitions.changeCount();
+    if (mayOrderEngines()) {
+      follower.pollOnce();
+    } else {
+      follower.stopWatching();
+      partitions.awaitChange(changeCount, IDLE_INTERVAL_MS);
+    }
+  }
+
+  /** Returns the interval between decisions on engines to order, in milliseconds. */
+  long engineOrdersIntervalMs() {
+    return isCandidate() ? ENGINE_ORDERS_INTERVAL_MS : IDLE_INTERVAL_MS;
+  }
+
   /** Claims or renews the duty lease if this instance is a candidate and the claim is due. */
   void claimLeaseIfDue() {
     if (isCandidate()) {
@@ -111,6 +135,14 @@
     return isCandidate() ? ENGINE_READ_PAUSE_MS : IDLE_ENGINE_READ_PAUSE_MS;
   }
 
+  private boolean mayOrderEngines() {
+    return (holdsLease() || rollouts.active())
+        && deployment
+            .config()
+            .filter(c -> c.services().stream().anyMatch(s -> s.autoscale().isPresent()))
+            .isPresent();
+  }
+
   private boolean isCandidate() {
     return membership.ownsAnyPartition() || holdsLease() || rollouts.active();
   }
--- a/server/src/main/java/org/marigoldmill/server/Metrics.java
+++ b/server/src/main/java/org/marigoldmill/server/Metrics.java
@@ -1,6 +1,7 @@
 package org.marigoldmill.server;
 
 import io.prometheus.metrics.core.metrics.Counter;
+import io.prometheus.metrics.core.metrics.Gauge;
 import io.prometheus.metrics.core.metrics.GaugeWithCallback;
 import io.prometheus.metrics.core.metrics.Histogram;
 import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter;
@@ -64,6 +65,33 @@
           .withoutExemplars()
           .register(registry);
 
+  private final Counter engineOrdersTotal =
+      Counter.builder()
+          .name(PREFIX + "engine_orders_total")
+          .help("Orders of engines by service, zone and answer of the platform")
+          .labelNames("service", "zone", "answer")
+          .withoutExemplars()
+          .register(registry);
+
+  private final Gauge engines =
+      Gauge.builder()
+          .name(PREFIX + "engines")
+          .help("Engines that a service needs, and those that serve, seen by the duty holder")
+          .labelNames("service", "state")
+          .withoutExemplars()
+          .register(registry);
+
+  /** Counts an order of engines. */
+  public void recordEngineOrder(String service, String zone, String answer) {
+    engineOrdersTotal.labelValues(service, zone, answer).inc();
+  }
+
+  /** Records how many engines a service needs and how many of it serve. */
+  public void recordEngines(String service, double needed, int serving) {
+    engines.labelValues(service, "needed").set(needed);
+    engines.labelValues(service, "serving").set(serving);
+  }
+
   /** Counts a call to the store. */
   public void recordStoreCall(String kind, String name) {
     storeCallsTotal.labelValues(kind, name).inc();
--- a/server/src/main/java/org/marigoldmill/server/batch/ItemTask.java
+++ b/server/src/main/java/org/marigoldmill/server/batch/ItemTask.java
@@ -56,6 +56,11 @@
     return item.getExpectedTokens();
   }
 
+  /** Returns about how many events have still to be generated, at least 1. */
+  long remainingEvents() {
+    return Math.max(1, expectedTokens() - text.lastEventId().orElse(0));
+  }
+
   GeneratedText text() {
     return text;
   }
--- a/server/src/main/java/org/marigoldmill/server/batch/RolloutScheduler.java
+++ b/server/src/main/java/org/marigoldmill/server/batch/RolloutScheduler.java
@@ -18,6 +18,7 @@
 import org.marigoldmill.core.placement.Engine;
 import org.marigoldmill.core.placement.EngineLoads;
 import org.marigoldmill.core.placement.MovePolicy;
+import org.marigoldmill.core.supply.EngineNeed;
 import org.marigoldmill.core.weights.EngineVersions;
 import org.marigoldmill.schema.submission.RolloutItem;
 import org.marigoldmill.schema.submission.Submission;
@@ -154,6 +155,26 @@
         waiting.stream().anyMatch(Submission::getSingleVersion));
   }
 
+  /**
+   * Returns the work of the open items of a model, by submission.
+   *
+   * @param nowUnixMs current time by the wall clock, in Unix milliseconds
+   */
+  synchronized List<EngineNeed.Work> openWork(String model, long nowUnixMs) {
+    Map<Submission, Double> events =
+        tasks.values().stream()
+            .filter(t -> !t.cancelled() && t.submission().getModel().equals(model))
+            .collect(
+                Collectors.groupingBy(
+                    ItemTask::submission, Collectors.summingDouble(ItemTask::remainingEvents)));
+    return events.entrySet().stream()
+        .map(
+            e ->
+                new EngineNeed.Work(
+                    e.getKey().getAcceptedAtMs() + e.getKey().getDueMs() - nowUnixMs, e.getValue()))
+        .toList();
+  }
+
   /**
    * Stops taking on items; those that have had an attempt here continue.
    *
--- a/server/src/main/java/org/marigoldmill/server/batch/Rollouts.java
+++ b/server/src/main/java/org/marigoldmill/server/batch/Rollouts.java
@@ -9,6 +9,7 @@
 import org.marigoldmill.server.Clock;
 import org.marigoldmill.server.Metrics;
 import org.marigoldmill.server.deployment.DeploymentState;
+import org.marigoldmill.server.duty.EngineOrderLog;
 import org.marigoldmill.server.duty.FleetLog;
 import org.marigoldmill.server.gateway.Forwarder;
 import org.marigoldmill.server.gateway.UpstreamSender;
@@ -17,6 +18,7 @@
 public final class Rollouts {
   private final RolloutScheduler scheduler;
   private final WeightPlanner planner;
+  private final EngineNeedPublisher needs;
 
   /**
    * Creates the scheduler and the planner of weights.
@@ -35,6 +37,7 @@
       Forwarder forwarder,
       EngineLimits limits,
       FleetLog fleet,
+      EngineOrderLog engineOrders,
       Executor executor,
       BooleanSupplier upstreamsLost,
       Metrics metrics,
@@ -60,6 +63,16 @@
     this.planner =
         new WeightPlanner(
             scheduler, membership, allocator, loads, versions, deployment, fleet, clock);
+    this.needs =
+        new EngineNeedPublisher(
+            scheduler,
+            membership,
+            allocator,
+            loads,
+            deployment,
+            engineOrders,
+            System::currentTimeMillis,
+            clock);
   }
 
   /** Starts and moves items, then waits for a change; meant to be called in a loop. */
@@ -72,6 +85,11 @@
     planner.requestWantedLoads();
   }
 
+  /** Publishes how many engines the models need; meant to be called periodically. */
+  public void publishEngineNeeds() {
+    needs.publishDue();
+  }
+
   /** Stops taking on items; returns the keys of those that this instance will still finish. */
   public List<String> startDraining() {
     return scheduler.startDraining();
--- a/server/src/test/java/org/marigoldmill/server/duty/UsageReporterTest.java
+++ b/server/src/test/java/org/marigoldmill/server/duty/UsageReporterTest.java
@@ -16,6 +16,8 @@
 import org.junit.jupiter.api.Test;
 import org.marigoldmill.core.routing.UpstreamTable;
 import org.marigoldmill.core.submission.KeyedRecord;
+import org.marigoldmill.core.supply.EngineDemandPlanner.Answer;
+import org.marigoldmill.core.supply.EngineOrder;
 import org.marigoldmill.core.weights.EngineVersions;
 import org.marigoldmill.core.weights.LoadQueue;
 import org.marigoldmill.server.deployment.DutyApi;
@@ -61,19 +63,30 @@
               time::get,
               time::get);
       lease = new DutyLeaseHolder(store, name, TTL_MS, 0, time::get);
-      DutyApi api = this::report;
+      DutyApi api =
+          new DutyApi() {
+            @Override
+            public boolean reportUsage(
+                String holder, long epoch, long window, Map<String, Long> requests) {
+              assertThat(reports.getOrDefault(window, requests))
+                  .as("window %d", window)
+                  .isEqualTo(requests);
+              reports.put(window, requests);
+              reportedAt.putIfAbsent(window, time.get());
+              return true;
+            }
+
+            @Override
+            public Answer orderEngines(
+                String holder, long epoch, String service, EngineOrder order) {
+              throw new AssertionError("unexpected order " + order);
+            }
+          };
       reporter =
           new UsageReporter(
               counter, fleet, lease, api, name, WINDOW_MS, REPORT_DEADLINE_MS, time::get);
     }
 
-    private boolean report(String holder, long epoch, long window, Map<String, Long> counts) {
-      assertThat(reports.getOrDefault(window, counts)).as("window %d", window).isEqualTo(counts);
-      reports.put(window, counts);
-      reportedAt.putIfAbsent(window, time.get());
-      return true;
-    }
-
     private void count(String organisation) {
       counter.countStarted(organisation);
       expected
