--- a/core/src/main/java/org/marigoldmill/core/placement/RunLengths.java
+++ b/core/src/main/java/org/marigoldmill/core/placement/RunLengths.java
@@ -39,6 +39,11 @@
     sums.events = KEPT_PART * sums.events + events;
   }
 
+  /** Returns whether a run of a model has ended, so that the tokens of an event are known. */
+  public synchronized boolean known(String model) {
+    return sumsByModel.containsKey(model);
+  }
+
   /**
    * Returns the number of events that a run has still to generate, at least 1; before a run of the
    * model has ended, each token counts as an event.
--- a/core/src/test/java/org/marigoldmill/core/placement/EngineLoadsTest.java
+++ b/core/src/test/java/org/marigoldmill/core/placement/EngineLoadsTest.java
@@ -74,6 +74,7 @@
   }
 
   private static Engine engine(String id) {
-    return new Engine(id, 1, "service", "v1", "127.0.0.1:1", ZONE, SLOTS, false, false, Map.of());
+    return new Engine(
+        id, 1, "service", "v1", "127.0.0.1:1", ZONE, SLOTS, false, false, Map.of(), 0);
   }
 }
--- a/server/src/main/java/org/marigoldmill/server/batch/RolloutScheduler.java
+++ b/server/src/main/java/org/marigoldmill/server/batch/RolloutScheduler.java
@@ -19,6 +19,7 @@
 import org.marigoldmill.core.placement.EngineLoads;
 import org.marigoldmill.core.placement.MovePolicy;
 import org.marigoldmill.core.placement.RunLengths;
+import org.marigoldmill.core.supply.EngineNeed;
 import org.marigoldmill.core.weights.EngineVersions;
 import org.marigoldmill.schema.submission.RolloutItem;
 import org.marigoldmill.schema.submission.Submission;
@@ -158,6 +159,35 @@
         waiting.stream().anyMatch(Submission::getSingleVersion));
   }
 
+  /**
+   * Returns the work of the open items of a model, by submission; nothing before a run has told how
+   * long runs are.
+   *
+   * @param nowUnixMs current time by the wall clock, in Unix milliseconds
+   */
+  synchronized List<EngineNeed.Work> openWork(String model, long nowUnixMs) {
+    if (!lengths.known(model)) {
+      return List.of();
+    }
+    Map<Submission, Double> events =
+        tasks.values().stream()
+            .filter(t -> !t.cancelled() && t.submission().getModel().equals(model))
+            .collect(
+                Collectors.groupingBy(
+                    ItemTask::submission, Collectors.summingDouble(this::remainingEvents)));
+    return events.entrySet().stream()
+        .map(
+            e ->
+                new EngineNeed.Work(
+                    e.getKey().getAcceptedAtMs() + e.getKey().getDueMs() - nowUnixMs, e.getValue()))
+        .toList();
+  }
+
+  private long remainingEvents(ItemTask task) {
+    return lengths.remainingEvents(
+        task.submission().getModel(), task.expectedTokens(), task.generatedEvents());
+  }
+
   /**
    * Stops taking on items; those that have had an attempt here continue.
    *
@@ -338,10 +368,7 @@
             .map(
                 t ->
                     new MovePolicy.Run(
-                        t.item().getId(),
-                        t.engineId(),
-                        t.startedAtMs(),
-                        lengths.remainingEvents(model, t.expectedTokens(), t.generatedEvents())))
+                        t.item().getId(), t.engineId(), t.startedAtMs(), remainingEvents(t)))
             .toList();
     Map<String, Double> speeds =
         running.stream()
--- a/server/src/test/java/org/marigoldmill/server/duty/DutyRecordsTest.java
+++ b/server/src/test/java/org/marigoldmill/server/duty/DutyRecordsTest.java
@@ -4,6 +4,7 @@
 
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.OptionalDouble;
 import java.util.OptionalLong;
 import java.util.Random;
@@ -13,6 +14,7 @@
 import org.junit.jupiter.api.Test;
 import org.marigoldmill.core.limit.EngineLimits;
 import org.marigoldmill.core.limit.Urgency;
+import org.marigoldmill.core.limit.WarmupTable;
 import org.marigoldmill.core.quarantine.SuspectTable;
 import org.marigoldmill.core.submission.KeyedRecord;
 import org.marigoldmill.core.usage.WindowTallies;
@@ -49,7 +51,13 @@
 
     private Instance(String name, MemoryStore store) {
       EngineRegistry registry = RegisteredEngine.registry(versions);
-      limits = new EngineLimits(name, name + "#1", new Random(1), nowMs.get());
+      limits =
+          new EngineLimits(
+              name,
+              name + "#1",
+              new WarmupTable(service -> Optional.empty()),
+              new Random(1),
+              nowMs.get());
       fleet =
           new FleetLog(store, name, registry, versions, loads, () -> 0, () -> UNIX_MS, nowMs::get);
       crashes = new CrashLog(store, name, suspects, nowMs::get);
--- a/server/src/test/java/org/marigoldmill/server/gateway/UpstreamPickerTest.java
+++ b/server/src/test/java/org/marigoldmill/server/gateway/UpstreamPickerTest.java
@@ -11,6 +11,7 @@
 import org.marigoldmill.core.error.ErrorKind;
 import org.marigoldmill.core.limit.EngineLimits;
 import org.marigoldmill.core.limit.Urgency;
+import org.marigoldmill.core.limit.WarmupTable;
 import org.marigoldmill.core.placement.Engine;
 import org.marigoldmill.core.route.DeploymentConfig;
 import org.marigoldmill.core.routing.UpstreamTable;
@@ -41,7 +42,7 @@
     @Override
     public Optional<Engine> decodeEngine(String key, byte[] value) {
       return Optional.of(
-          new Engine(key, 1, "s", "v1", "10.0.0.1:1", key, 1, false, false, Map.of()));
+          new Engine(key, 1, "s", "v1", "10.0.0.1:1", key, 1, false, false, Map.of(), 0));
     }
   }
 
@@ -50,7 +51,11 @@
       new EngineRegistry(new ZoneCodec(), upstreams, new EngineVersions());
   private final UpstreamPicker picker =
       new UpstreamPicker(
-          registry, upstreams, new EngineLimits("i", "i#1", new Random(1), 0), "a", () -> 0);
+          registry,
+          upstreams,
+          new EngineLimits("i", "i#1", new WarmupTable(s -> Optional.empty()), new Random(1), 0),
+          "a",
+          () -> 0);
 
   @BeforeEach
   void listEngines() {
--- a/server/src/test/java/org/marigoldmill/server/lastbuild/LastBuild.java
+++ b/server/src/test/java/org/marigoldmill/server/lastbuild/LastBuild.java
@@ -53,6 +53,8 @@
           Map.entry("duty-lease", "DutyLease"),
           Map.entry("software", "DefaultSoftware"),
           Map.entry("streams", "StreamOrigin"),
+          Map.entry("engine-orders/need", "NeededEngines"),
+          Map.entry("engine-orders/order", "OrderedEngines"),
           Map.entry("submissions/h", "Submission"),
           Map.entry("submissions/c", "ItemChunk"),
           Map.entry("submissions/r", "ItemResult"));
