Need for engines from measured slot time per expected token

The trainer's estimate counts tokens, engines stream events of several tokens: the first version would have taken one for the other and ordered up to the maximum. The slot time of completed items per expected token has no such unit; it includes prefill and waits for weights.

--- a/server/src/main/java/org/marigoldmill/server/batch/EngineNeedPublisher.java
+++ b/server/src/main/java/org/marigoldmill/server/batch/EngineNeedPublisher.java
@@ -7,9 +7,9 @@
 import java.util.OptionalDouble;
 import java.util.function.LongSupplier;
 import org.marigoldmill.core.placement.Engine;
-import org.marigoldmill.core.placement.EngineLoads;
 import org.marigoldmill.core.route.DeploymentConfig;
 import org.marigoldmill.core.supply.EngineNeed;
+import org.marigoldmill.core.supply.SlotTimes;
 import org.marigoldmill.server.Clock;
 import org.marigoldmill.server.deployment.DeploymentState;
 import org.marigoldmill.server.duty.EngineOrderLog;
@@ -28,18 +28,21 @@
   private final RolloutScheduler scheduler;
   private final RolloutMembership membership;
   private final ModelEngineAllocator allocator;
-  private final EngineLoads loads;
+  private final SlotTimes slotTimes;
   private final DeploymentState deployment;
   private final EngineOrderLog orders;
   private final LongSupplier unixMs;
   private final Clock clock;
   private final Map<String, Published> publishedByModel = new HashMap<>();
 
+  /** Slots of an engine as last seen, for the time in which a model has none. */
+  private final Map<String, Double> slotsByModel = new HashMap<>();
+
   EngineNeedPublisher(
       RolloutScheduler scheduler,
       RolloutMembership membership,
       ModelEngineAllocator allocator,
-      EngineLoads loads,
+      SlotTimes slotTimes,
       DeploymentState deployment,
       EngineOrderLog orders,
       LongSupplier unixMs,
@@ -47,7 +50,7 @@
     this.scheduler = scheduler;
     this.membership = membership;
     this.allocator = allocator;
-    this.loads = loads;
+    this.slotTimes = slotTimes;
     this.deployment = deployment;
     this.orders = orders;
     this.unixMs = unixMs;
@@ -79,16 +82,18 @@
   }
 
   private void publishIfDue(String service, String model, List<Engine> engines, long startupMs) {
-    OptionalDouble eventsPerMs =
-        engines.stream()
-            .filter(e -> loads.msPerEvent(e.id()) > 0)
-            .mapToDouble(e -> e.slots() / loads.msPerEvent(e.id()))
-            .average();
-    if (eventsPerMs.isEmpty()) {
+    engines.stream()
+        .mapToInt(Engine::slots)
+        .average()
+        .ifPresent(slots -> slotsByModel.put(model, slots));
+    double slots = slotsByModel.getOrDefault(model, 0.0);
+    OptionalDouble msPerToken = slotTimes.msPerToken(model);
+    if (slots <= 0 || msPerToken.isEmpty()) {
       return;
     }
-    List<EngineNeed.Work> work = scheduler.openWork(model, unixMs.getAsLong());
-    double needed = EngineNeed.engines(work, eventsPerMs.getAsDouble(), startupMs);
+    List<EngineNeed.Work> work =
+        scheduler.openWork(model, msPerToken.getAsDouble(), unixMs.getAsLong());
+    double needed = EngineNeed.engines(work, slots, startupMs);
     boolean late = needed > engines.size();
     long now = clock.now();
     Published last = publishedByModel.get(model);
@@ -98,8 +103,8 @@
       publishedByModel.put(model, new Published(late, now));
       if (late && (last == null || !last.late())) {
         logger.atInfo().log(
-            "engines too few service=%s model=%s needed=%.2f allocated=%d events_per_ms=%.3f",
-            service, model, needed, engines.size(), eventsPerMs.getAsDouble());
+            "engines too few service=%s model=%s needed=%.2f allocated=%d slot_ms_per_token=%.3f",
+            service, model, needed, engines.size(), msPerToken.getAsDouble());
       }
     }
   }
--- a/server/src/main/java/org/marigoldmill/server/batch/ItemRunner.java
+++ b/server/src/main/java/org/marigoldmill/server/batch/ItemRunner.java
@@ -14,6 +14,7 @@
 import org.marigoldmill.core.submission.GeneratedText;
 import org.marigoldmill.core.submission.GiveUpRule;
 import org.marigoldmill.core.submission.StallDetector;
+import org.marigoldmill.core.supply.SlotTimes;
 import org.marigoldmill.core.weights.EngineVersions;
 import org.marigoldmill.http.Cancellation;
 import org.marigoldmill.http.HttpCall;
@@ -50,6 +51,7 @@
 
   private final DeploymentState deployment;
   private final EngineLoads loads;
+  private final SlotTimes slotTimes;
   private final EngineVersions versions;
   private final UpstreamSender sender;
   private final Forwarder forwarder;
@@ -60,6 +62,7 @@
   ItemRunner(
       DeploymentState deployment,
       EngineLoads loads,
+      SlotTimes slotTimes,
       EngineVersions versions,
       UpstreamSender sender,
       Forwarder forwarder,
@@ -68,6 +71,7 @@
       Clock clock) {
     this.deployment = deployment;
     this.loads = loads;
+    this.slotTimes = slotTimes;
     this.versions = versions;
     this.sender = sender;
     this.forwarder = forwarder;
@@ -79,6 +83,7 @@
   /** Runs an attempt on an engine whose slot is acquired, and releases the slot; never throws. */
   void run(ItemTask task, Engine engine) {
     boolean complete = false;
+    final long acquiredAtMs = clock.now();
     try {
       complete = generate(task, engine);
     } catch (HttpCallException e) {
@@ -91,6 +96,10 @@
       logAttemptEnded(task, engine, e.toString());
     } finally {
       loads.release(engine.id());
+      slotTimes.recordAttempt(task.submission().getModel(), clock.now() - acquiredAtMs);
+    }
+    if (complete) {
+      slotTimes.recordCompleted(task.submission().getModel(), task.expectedTokens());
     }
     try {
       if (complete && !task.cancelled()) {
--- a/server/src/main/java/org/marigoldmill/server/batch/ItemTask.java
+++ b/server/src/main/java/org/marigoldmill/server/batch/ItemTask.java
@@ -56,9 +56,14 @@
     return item.getExpectedTokens();
   }
 
-  /** Returns about how many events have still to be generated, at least 1. */
-  long remainingEvents() {
-    return Math.max(1, expectedTokens() - text.lastEventId().orElse(0));
+  /**
+   * Returns about how long the item will still occupy a slot of an engine, in milliseconds.
+   *
+   * @param msPerToken slot time for an expected token, in milliseconds
+   */
+  double remainingSlotMs(double msPerToken, long nowMs) {
+    double totalMs = msPerToken * Math.max(1, expectedTokens());
+    return running ? Math.max(0, totalMs - (nowMs - startedAtMs)) : totalMs;
   }
 
   GeneratedText text() {
--- a/server/src/main/java/org/marigoldmill/server/batch/RolloutScheduler.java
+++ b/server/src/main/java/org/marigoldmill/server/batch/RolloutScheduler.java
@@ -158,16 +158,19 @@
   /**
    * Returns the work of the open items of a model, by submission.
    *
+   * @param msPerToken slot time of an item for an expected token, in milliseconds
    * @param nowUnixMs current time by the wall clock, in Unix milliseconds
    */
-  synchronized List<EngineNeed.Work> openWork(String model, long nowUnixMs) {
-    Map<Submission, Double> events =
+  synchronized List<EngineNeed.Work> openWork(String model, double msPerToken, long nowUnixMs) {
+    long now = clock.now();
+    Map<Submission, Double> slotMs =
         tasks.values().stream()
             .filter(t -> !t.cancelled() && t.submission().getModel().equals(model))
             .collect(
                 Collectors.groupingBy(
-                    ItemTask::submission, Collectors.summingDouble(ItemTask::remainingEvents)));
-    return events.entrySet().stream()
+                    ItemTask::submission,
+                    Collectors.summingDouble(t -> t.remainingSlotMs(msPerToken, now))));
+    return slotMs.entrySet().stream()
         .map(
             e ->
                 new EngineNeed.Work(
--- a/server/src/main/java/org/marigoldmill/server/batch/Rollouts.java
+++ b/server/src/main/java/org/marigoldmill/server/batch/Rollouts.java
@@ -5,6 +5,7 @@
 import java.util.function.BooleanSupplier;
 import org.marigoldmill.core.limit.EngineLimits;
 import org.marigoldmill.core.placement.EngineLoads;
+import org.marigoldmill.core.supply.SlotTimes;
 import org.marigoldmill.core.weights.EngineVersions;
 import org.marigoldmill.server.Clock;
 import org.marigoldmill.server.Metrics;
@@ -44,8 +45,10 @@
       String zone,
       Clock clock) {
     EngineLoads loads = new EngineLoads();
+    SlotTimes slotTimes = new SlotTimes();
     ItemRunner runner =
-        new ItemRunner(deployment, loads, versions, sender, forwarder, partitions, metrics, clock);
+        new ItemRunner(
+            deployment, loads, slotTimes, versions, sender, forwarder, partitions, metrics, clock);
     this.scheduler =
         new RolloutScheduler(
             partitions,
@@ -68,7 +71,7 @@
             scheduler,
             membership,
             allocator,
-            loads,
+            slotTimes,
             deployment,
             engineOrders,
             System::currentTimeMillis,
