--- a/server/src/main/java/org/marigoldmill/server/batch/RolloutScheduler.java
+++ b/server/src/main/java/org/marigoldmill/server/batch/RolloutScheduler.java
@@ -160,22 +160,21 @@
   }
 
   /**
-   * Returns the work of the open items of a model, by submission; nothing before a run has told how
-   * long runs are.
+   * Returns the work of the open items of a model, by submission.
    *
+   * @param msPerToken slot time of an item for an expected token, in milliseconds
    * @param nowUnixMs current time by the wall clock, in Unix milliseconds
    */
-  synchronized List<EngineNeed.Work> openWork(String model, long nowUnixMs) {
-    if (!lengths.known(model)) {
-      return List.of();
-    }
-    Map<Submission, Double> events =
+  synchronized List<EngineNeed.Work> openWork(String model, double msPerToken, long nowUnixMs) {
+    long now = clock.now();
+    Map<Submission, Double> slotMs =
         tasks.values().stream()
             .filter(t -> !t.cancelled() && t.submission().getModel().equals(model))
             .collect(
                 Collectors.groupingBy(
-                    ItemTask::submission, Collectors.summingDouble(this::remainingEvents)));
-    return events.entrySet().stream()
+                    ItemTask::submission,
+                    Collectors.summingDouble(t -> t.remainingSlotMs(msPerToken, now))));
+    return slotMs.entrySet().stream()
         .map(
             e ->
                 new EngineNeed.Work(
--- a/server/src/main/java/org/marigoldmill/server/batch/Rollouts.java
+++ b/server/src/main/java/org/marigoldmill/server/batch/Rollouts.java
@@ -6,6 +6,7 @@
 import org.marigoldmill.core.limit.EngineLimits;
 import org.marigoldmill.core.placement.EngineLoads;
 import org.marigoldmill.core.placement.RunLengths;
+import org.marigoldmill.core.supply.SlotTimes;
 import org.marigoldmill.core.weights.EngineVersions;
 import org.marigoldmill.server.Clock;
 import org.marigoldmill.server.Metrics;
@@ -46,9 +47,19 @@
       Clock clock) {
     EngineLoads loads = new EngineLoads();
     final RunLengths lengths = new RunLengths();
+    final SlotTimes slotTimes = new SlotTimes();
     ItemRunner runner =
         new ItemRunner(
-            deployment, loads, lengths, versions, sender, forwarder, partitions, metrics, clock);
+            deployment,
+            loads,
+            lengths,
+            slotTimes,
+            versions,
+            sender,
+            forwarder,
+            partitions,
+            metrics,
+            clock);
     this.scheduler =
         new RolloutScheduler(
             partitions,
@@ -72,7 +83,7 @@
             scheduler,
             membership,
             allocator,
-            loads,
+            slotTimes,
             deployment,
             engineOrders,
             System::currentTimeMillis,
