--- a/bench/src/main/java/org/marigoldmill/bench/emulator/Emulator.java
+++ b/bench/src/main/java/org/marigoldmill/bench/emulator/Emulator.java
@@ -223,7 +223,7 @@
 
   private Engine toEngine(String id) {
     return new Engine(
-        id, 1, SERVICE, "v1", "127.0.0.1:1", ZONE, scenario.getSlots(), false, false, Map.of());
+        id, 1, SERVICE, "v1", "127.0.0.1:1", ZONE, scenario.getSlots(), false, false, Map.of(), 0);
   }
 
   private List<EmulatedItem> waiting(EmulatedTrainer trainer) {
--- a/server/src/main/java/org/marigoldmill/server/gateway/UpstreamPicker.java
+++ b/server/src/main/java/org/marigoldmill/server/gateway/UpstreamPicker.java
@@ -90,7 +90,7 @@
    */
   private Optional<PickedUpstream> pickNow(
       String service, Urgency urgency, Predicate<Engine> eligible, Set<String> denied) {
-    for (int asked = 0; asked < MAX_LIMITS_ASKED; asked++) {
+    while (denied.size() < MAX_LIMITS_ASKED) {
       Optional<PickedUpstream> next =
           acquire(service, e -> eligible.test(e) && !denied.contains(e.id()));
       if (next.isEmpty()) {
