--- a/core/src/main/java/org/marigoldmill/core/limit/EngineLimits.java
+++ b/core/src/main/java/org/marigoldmill/core/limit/EngineLimits.java
@@ -171,8 +171,8 @@
   }
 
   /** Returns whether an engine is cold, so that a warm one with room is to be preferred. */
-  public synchronized boolean isCold(String engine, long nowMs) {
-    return coldTurns.isCold(engine, nowMs);
+  public boolean isCold(String engine, long nowMs) {
+    return warmups.requestsPerSecond(engine, nowMs).isPresent();
   }
 
   /** Counts a request for an engine, and returns whether it may be sent there now. */
--- a/core/src/main/java/org/marigoldmill/core/limit/WarmupTable.java
+++ b/core/src/main/java/org/marigoldmill/core/limit/WarmupTable.java
@@ -38,6 +38,9 @@
   private final Function<String, Optional<DeploymentConfig.Warmup>> warmupOf;
   private final Map<String, Entry> entries = new HashMap<>();
 
+  /** Time from which on no engine is cold; read without a lock, because it is asked for often. */
+  private volatile long allWarmFromMs = Long.MIN_VALUE;
+
   /**
    * Creates an empty table.
    *
@@ -60,12 +63,12 @@
     boolean first = entry.service.isEmpty();
     entry.service = engine.service();
     if (engine.warmupLeftMs() > 0) {
-      entry.heardUntilMs = Math.max(entry.heardUntilMs, nowMs + engine.warmupLeftMs());
+      hear(entry, nowMs + engine.warmupLeftMs());
     } else if (engine.warmupLeftMs() < 0 && first) {
       long ageMs = Math.max(0, unixMs - engine.incarnation());
       long durationMs =
           warmupOf.apply(engine.service()).map(DeploymentConfig.Warmup::durationMs).orElse(0L);
-      entry.heardUntilMs = Math.max(entry.heardUntilMs, nowMs + durationMs - ageMs);
+      hear(entry, nowMs + durationMs - ageMs);
     }
   }
 
@@ -80,7 +83,7 @@
       return;
     }
     if (leftMs > 0) {
-      entry.heardUntilMs = Math.max(entry.heardUntilMs, nowMs + leftMs);
+      hear(entry, nowMs + leftMs);
     } else {
       entry.heardUntilMs = Math.min(entry.heardUntilMs, nowMs);
       entry.toldUntilMs = Math.min(entry.toldUntilMs, nowMs);
@@ -90,8 +93,11 @@
   /** Records what another instance has heard from an engine itself. */
   public synchronized void recordTold(String engine, long incarnation, long leftMs, long nowMs) {
     if (leftMs > 0) {
-      current(engine, incarnation)
-          .ifPresent(e -> e.toldUntilMs = Math.max(e.toldUntilMs, nowMs + leftMs));
+      Entry entry = current(engine, incarnation).orElse(null);
+      if (entry != null) {
+        entry.toldUntilMs = Math.max(entry.toldUntilMs, nowMs + leftMs);
+        allWarmFromMs = Math.max(allWarmFromMs, entry.toldUntilMs);
+      }
     }
   }
 
@@ -104,7 +110,11 @@
    * Returns the requests a second that a cold engine accepts from all instances together; empty if
    * it is warm or its service has no warm-up.
    */
-  public synchronized OptionalDouble requestsPerSecond(String engine, long nowMs) {
+  public OptionalDouble requestsPerSecond(String engine, long nowMs) {
+    return nowMs >= allWarmFromMs ? OptionalDouble.empty() : rate(engine, nowMs);
+  }
+
+  private synchronized OptionalDouble rate(String engine, long nowMs) {
     Entry entry = entries.get(engine);
     if (entry == null || entry.untilMs() <= nowMs) {
       return OptionalDouble.empty();
@@ -115,6 +125,11 @@
         .orElse(OptionalDouble.empty());
   }
 
+  private void hear(Entry entry, long untilMs) {
+    entry.heardUntilMs = Math.max(entry.heardUntilMs, untilMs);
+    allWarmFromMs = Math.max(allWarmFromMs, entry.heardUntilMs);
+  }
+
   /** Returns how long an engine stays cold as far as this process has heard it from the engine. */
   public synchronized long heardLeftMs(String engine, long nowMs) {
     Entry entry = entries.get(engine);
