Evacuate availability zones on the operator's word

Callers' requests, items and orders of weights went on to engines of a zone that the operator had evacuated, because the records evacuate/ZONE were not read at all.

DeploymentState now reads them beside the configuration, and the registry shows engines of evacuated zones as not available. A request that waited for its turn asks again before it is sent. Callers of a service of which all zones are evacuated are refused as "evacuated".

--- a/core/src/main/java/org/marigoldmill/core/attempt/AttemptTracker.java
+++ b/core/src/main/java/org/marigoldmill/core/attempt/AttemptTracker.java
@@ -108,6 +108,16 @@
     answered = true;
   }
 
+  /**
+   * Records why no upstream may be sent the request now; an attempt that may have run is reported
+   * instead.
+   *
+   * @param reason a kind of {@link ErrorKind.Execution#NOT_RUN}
+   */
+  public void recordUnavailable(ErrorKind reason) {
+    kind = mayHaveRun ? kind : reason;
+  }
+
   /** Records that the deadline of the request has passed. */
   public void recordDeadlineExpired() {
     kind = mayHaveRun ? ErrorKind.UPSTREAM_SILENT : ErrorKind.DEADLINE_EXPIRED;
--- a/server/src/main/java/org/marigoldmill/server/DeploymentInstance.java
+++ b/server/src/main/java/org/marigoldmill/server/DeploymentInstance.java
@@ -127,6 +127,7 @@
     this.ports = ports;
     this.deployment = new DeploymentState(ports.codec());
     this.engines = new EngineRegistry(ports.codec(), upstreams, versions);
+    deployment.addEvacuationListener(engines::setEvacuatedZones);
     LogStore store = new MeteredLogStore(ports.store(), metrics::recordStoreCall);
     this.operatorFollower =
         new PartitionFollower(
@@ -408,6 +409,10 @@
         "config_version",
         "Version of the configuration in force",
         () -> deployment.config().map(c -> (double) c.version()).orElse(0.0));
+    metrics.registerGauge(
+        "evacuated_zones",
+        "Availability zones that are evacuated",
+        () -> deployment.evacuatedZones().size());
     metrics.registerGauge("open_requests", "Requests in progress", servers::openRequests);
     metrics.registerGauge(
         "running_items", "Items that are being generated", rollouts::runningAttempts);
--- a/server/src/main/java/org/marigoldmill/server/deployment/DeploymentCodec.java
+++ b/server/src/main/java/org/marigoldmill/server/deployment/DeploymentCodec.java
@@ -16,6 +16,12 @@
   /** Decodes an announced version, or returns empty if the key is not that of a version. */
   Optional<AnnouncedVersion> decodeAnnouncedVersion(String key, byte[] value);
 
+  /**
+   * Decodes the name of the availability zone that a record evacuates while the record exists, or
+   * returns empty if the key is not that of an evacuation.
+   */
+  Optional<String> decodeEvacuatedZone(String key);
+
   /** Decodes the registration of an engine, or returns empty if it is unusable. */
   Optional<Engine> decodeEngine(String key, byte[] value);
 }
--- a/server/src/main/java/org/marigoldmill/server/deployment/DeploymentState.java
+++ b/server/src/main/java/org/marigoldmill/server/deployment/DeploymentState.java
@@ -1,9 +1,11 @@
 package org.marigoldmill.server.deployment;
 
 import com.google.common.flogger.FluentLogger;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.function.Consumer;
@@ -11,14 +13,24 @@
 import org.marigoldmill.server.store.PartitionFollower;
 import org.marigoldmill.server.store.StoredRecord;
 
-/** The active configuration and announced versions of weights; older versions are ignored. */
+/**
+ * The active configuration, announced versions of weights and evacuated availability zones.
+ *
+ * <p>Older versions are ignored. A zone is evacuated as long as the latest record under its key has
+ * a value; while the store does not answer, what was last read stays in force.
+ */
 public final class DeploymentState implements PartitionFollower.Sink {
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
 
   private final DeploymentCodec codec;
   private final Map<String, Long> announcedVersions = new ConcurrentHashMap<>();
   private final List<Consumer<DeploymentConfig>> listeners = new CopyOnWriteArrayList<>();
+  private final List<Consumer<Set<String>>> evacuationListeners = new CopyOnWriteArrayList<>();
   private volatile Optional<DeploymentConfig> config = Optional.empty();
+  private volatile Set<String> evacuatedZones = Set.of();
+  private boolean loading;
+  private final Set<String> loadedZones = new HashSet<>();
+  private Optional<DeploymentConfig> loadedConfig = Optional.empty();
 
   /** Creates an empty state. */
   public DeploymentState(DeploymentCodec codec) {
@@ -30,6 +42,16 @@
     listeners.add(listener);
   }
 
+  /** Registers a listener that is called with all evacuated zones after each change. */
+  public void addEvacuationListener(Consumer<Set<String>> listener) {
+    evacuationListeners.add(listener);
+  }
+
+  /** Returns the evacuated availability zones. */
+  public Set<String> evacuatedZones() {
+    return evacuatedZones;
+  }
+
   /** Returns the active configuration. */
   public Optional<DeploymentConfig> config() {
     return config;
@@ -44,8 +66,29 @@
   @Override
   public void reset() {}
 
+  /**
+   * Applies evacuations before a configuration, with which an instance begins to serve callers; an
+   * evacuation without a record has been taken back.
+   */
+  @Override
+  public void load(Runnable replay) {
+    loadedZones.clear();
+    loadedConfig = Optional.empty();
+    loading = true;
+    try {
+      replay.run();
+    } finally {
+      loading = false;
+    }
+    changeEvacuatedZones(loadedZones);
+    loadedConfig.ifPresent(this::activate);
+  }
+
   @Override
   public void apply(StoredRecord stored) {
+    codec
+        .decodeEvacuatedZone(stored.key())
+        .ifPresent(zone -> applyEvacuation(zone, stored.value().isPresent()));
     if (stored.value().isEmpty()) {
       return;
     }
@@ -54,7 +97,34 @@
     codec.decodeAnnouncedVersion(stored.key(), value).ifPresent(this::recordAnnouncement);
   }
 
+  private void applyEvacuation(String zone, boolean evacuated) {
+    Set<String> zones = loading ? loadedZones : new HashSet<>(evacuatedZones);
+    if (evacuated) {
+      zones.add(zone);
+    } else {
+      zones.remove(zone);
+    }
+    if (!loading) {
+      changeEvacuatedZones(zones);
+    }
+  }
+
+  private void changeEvacuatedZones(Set<String> zones) {
+    Set<String> before = evacuatedZones;
+    if (zones.equals(before)) {
+      return;
+    }
+    logger.atInfo().log(
+        "evacuated zones in force=%s before=%s", String.join(",", zones), String.join(",", before));
+    evacuatedZones = Set.copyOf(zones);
+    evacuationListeners.forEach(l -> l.accept(evacuatedZones));
+  }
+
   private void activate(DeploymentConfig candidate) {
+    if (loading) {
+      loadedConfig = Optional.of(candidate);
+      return;
+    }
     if (config.filter(c -> c.version() >= candidate.version()).isPresent()) {
       return;
     }
--- a/server/src/main/java/org/marigoldmill/server/deployment/EngineRegistry.java
+++ b/server/src/main/java/org/marigoldmill/server/deployment/EngineRegistry.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.function.Consumer;
@@ -29,6 +30,9 @@
   private volatile Map<String, Map<String, Integer>> softwareVersions = Map.of();
   private volatile List<String> addresses = List.of();
   private final LeavingEngines leaving = new LeavingEngines();
+  private volatile Set<String> evacuatedZones = Set.of();
+  private Set<String> zonesWithoutUpstream = Set.of();
+  private boolean loaded;
   private boolean routingTableStale;
 
   /** Creates an empty registry that updates a routing table and the versions of weights. */
@@ -48,7 +52,10 @@
     return Optional.ofNullable(engines.get(id));
   }
 
-  /** Returns the addresses of all upstreams, including draining ones. */
+  /**
+   * Returns the addresses of all upstreams outside evacuated zones, including draining ones; those
+   * of all upstreams if every zone is evacuated.
+   */
   public List<String> addresses() {
     return addresses;
   }
@@ -65,7 +72,46 @@
 
   /** Returns the upstreams of a service that accept new work. */
   public List<Engine> availableEnginesOf(String service) {
-    return enginesOf(service).stream().filter(e -> !e.draining()).toList();
+    return enginesOf(service).stream().filter(this::isAvailable).toList();
+  }
+
+  /** Returns whether the upstream with an id is listed and accepts new work. */
+  public boolean isAvailable(String id) {
+    return engine(id).filter(this::isAvailable).isPresent();
+  }
+
+  private boolean isAvailable(Engine engine) {
+    return !engine.draining() && !isEvacuated(engine);
+  }
+
+  /** Returns whether an upstream is in an evacuated zone, so that nothing new is sent to it. */
+  public boolean isEvacuated(Engine engine) {
+    return evacuatedZones.contains(engine.zone());
+  }
+
+  /** Sets the zones whose upstreams get no new work, including those that register later. */
+  public synchronized void setEvacuatedZones(Set<String> zones) {
+    evacuatedZones = Set.copyOf(zones);
+    updateRoutingTable();
+    warnOfZonesWithoutUpstream();
+  }
+
+  /** Warns once of each evacuated zone that has no upstream, since its name may be wrong. */
+  private void warnOfZonesWithoutUpstream() {
+    if (!loaded) {
+      return;
+    }
+    Set<String> known = engines.values().stream().map(Engine::zone).collect(Collectors.toSet());
+    Set<String> missing =
+        evacuatedZones.stream().filter(z -> !known.contains(z)).collect(Collectors.toSet());
+    missing.stream()
+        .filter(z -> !zonesWithoutUpstream.contains(z))
+        .forEach(
+            z ->
+                logger.atWarning().log(
+                    "evacuated zone has no upstream, check its name zone=%s known=%s",
+                    z, String.join(",", known)));
+    zonesWithoutUpstream = missing;
   }
 
   /**
@@ -105,6 +151,8 @@
     engines.replaceAll((id, engine) -> laterIncarnation(before.get(id), engine));
     List<String> gone = before.keySet().stream().filter(id -> !engines.containsKey(id)).toList();
     gone.forEach(this::notifyRemoved);
+    loaded = true;
+    warnOfZonesWithoutUpstream();
     logger.atInfo().log(
         "registry loaded, engines missing from it removed engines=%d gone=%s",
         engines.size(), String.join(",", gone));
@@ -153,8 +201,11 @@
 
   private void updateRoutingTable() {
     routingTableStale = false;
-    upstreams.replace(engines.values().stream().map(EngineRegistry::toPlatformInstance).toList());
-    addresses = engines.values().stream().map(Engine::address).toList();
+    upstreams.replace(engines.values().stream().map(this::toPlatformInstance).toList());
+    List<Engine> reachedForWork = engines.values().stream().filter(e -> !isEvacuated(e)).toList();
+    addresses =
+        (reachedForWork.isEmpty() ? engines.values() : reachedForWork)
+            .stream().map(Engine::address).toList();
     softwareVersions =
         engines.values().stream()
             .collect(
@@ -188,13 +239,13 @@
     return before != null && before.incarnation() > loaded.incarnation() ? before : loaded;
   }
 
-  private static PlatformInstance toPlatformInstance(Engine engine) {
+  private PlatformInstance toPlatformInstance(Engine engine) {
     return PlatformInstance.newBuilder()
         .setName(engine.id())
         .setZone(engine.zone())
         .setPool(engine.service())
         .setAddress(engine.address())
-        .setState(engine.draining() ? InstanceState.LEAVING : InstanceState.LIVE)
+        .setState(isAvailable(engine) ? InstanceState.LIVE : InstanceState.LEAVING)
         .setReclaimable(engine.reclaimable())
         .build();
   }
--- a/server/src/main/java/org/marigoldmill/server/duty/WeightOrderDispatcher.java
+++ b/server/src/main/java/org/marigoldmill/server/duty/WeightOrderDispatcher.java
@@ -89,7 +89,9 @@
   }
 
   private void sendOrder(WeightPlan.Load order) {
-    Engine engine = registry.engine(order.engine()).orElse(null);
+    // Its owner requests the load again once the zone of an evacuated engine is taken back.
+    Engine engine =
+        registry.engine(order.engine()).filter(e -> !registry.isEvacuated(e)).orElse(null);
     boolean upToDate =
         versions.targetVersion(order.engine(), order.model(), clock.now()) >= order.version();
     if (engine == null || upToDate || !lease.remainsHeldFor(SEND_TIMEOUT_MS)) {
--- a/server/src/main/java/org/marigoldmill/server/gateway/Forwarder.java
+++ b/server/src/main/java/org/marigoldmill/server/gateway/Forwarder.java
@@ -187,9 +187,9 @@
     }
 
     private Outcome run() {
-      boolean sent = true;
-      while (sent && record.maySend()) {
-        sent = attemptNext();
+      boolean mayContinue = true;
+      while (mayContinue && record.maySend()) {
+        mayContinue = attemptNext();
       }
       return new Outcome(
           response,
@@ -206,7 +206,7 @@
       return request.urgency() == Urgency.CALL;
     }
 
-    /** Makes one attempt; returns whether the request was sent. */
+    /** Makes one attempt; returns whether another may follow. */
     private boolean attemptNext() {
       long remainingMs = request.deadlineMs() - clock.now();
       if (remainingMs < MIN_ATTEMPT_MS) {
@@ -231,7 +231,9 @@
         return false;
       }
       PickedUpstream upstream = pick.picked().get();
-      Pause.millis(upstream.waitMs());
+      if (!picker.awaitTurn(upstream)) {
+        return true;
+      }
       engine = upstream.engine().id();
       tried.add(engine);
       attempt(upstream, remainingMs - upstream.waitMs());
@@ -309,6 +311,8 @@
         logger.atInfo().log(
             "request beyond limits id=%s service=%s urgency=%s turn_in_ms=%s retry_after_ms=%d",
             request.id(), request.service(), request.urgency(), pick.turnInMs(), retryAfterMs);
+      } else {
+        record.recordUnavailable(picker.unavailability(request.service()));
       }
     }
 
--- a/server/src/main/java/org/marigoldmill/server/gateway/StreamForwarder.java
+++ b/server/src/main/java/org/marigoldmill/server/gateway/StreamForwarder.java
@@ -24,7 +24,6 @@
 import org.marigoldmill.http.HttpStream;
 import org.marigoldmill.schema.platform.PlatformInstance;
 import org.marigoldmill.server.Clock;
-import org.marigoldmill.server.Pause;
 import org.marigoldmill.server.deployment.CallerProtocol;
 import org.marigoldmill.server.deployment.UpstreamProtocol.Attempt;
 import org.marigoldmill.server.gateway.UpstreamPicker.Pick;
@@ -206,7 +205,9 @@
         return false;
       }
       PickedUpstream picked = pick.picked().get();
-      Pause.millis(picked.waitMs());
+      if (!picker.awaitTurn(picked)) {
+        return true;
+      }
       PlatformInstance instance = picked.instance();
       engine = picked.engine().id();
       tried.add(engine);
@@ -307,6 +308,8 @@
         logger.atInfo().log(
             "stream beyond limits id=%s service=%s turn_in_ms=%s retry_after_ms=%d",
             request.id(), request.service(), pick.turnInMs(), retryAfterMs);
+      } else {
+        record.recordUnavailable(picker.unavailability(request.service()));
       }
     }
 
--- a/server/src/main/java/org/marigoldmill/server/gateway/UpstreamPicker.java
+++ b/server/src/main/java/org/marigoldmill/server/gateway/UpstreamPicker.java
@@ -1,16 +1,19 @@
 package org.marigoldmill.server.gateway;
 
 import java.util.HashSet;
+import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.function.Predicate;
+import org.marigoldmill.core.error.ErrorKind;
 import org.marigoldmill.core.limit.EngineLimits;
 import org.marigoldmill.core.limit.Urgency;
 import org.marigoldmill.core.placement.Engine;
 import org.marigoldmill.core.routing.UpstreamTable;
 import org.marigoldmill.schema.platform.PlatformInstance;
 import org.marigoldmill.server.Clock;
+import org.marigoldmill.server.Pause;
 import org.marigoldmill.server.deployment.EngineRegistry;
 
 /** Picks the upstream of an attempt and counts the attempt as outstanding there. */
@@ -117,6 +120,28 @@
     return new Pick(Optional.empty(), !denied.isEmpty(), known);
   }
 
+  /**
+   * Waits for the turn at a picked upstream.
+   *
+   * @return false if it accepts no new work any more, and so has been given up
+   */
+  boolean awaitTurn(PickedUpstream picked) {
+    Pause.millis(picked.waitMs());
+    boolean available = picked.waitMs() == 0 || registry.isAvailable(picked.engine().id());
+    if (!available) {
+      upstreams.release(picked.instance());
+    }
+    return available;
+  }
+
+  /** Returns why no upstream of a service may be sent a request. */
+  ErrorKind unavailability(String service) {
+    List<Engine> engines = registry.enginesOf(service).stream().filter(e -> !e.draining()).toList();
+    return !engines.isEmpty() && engines.stream().allMatch(registry::isEvacuated)
+        ? ErrorKind.EVACUATED
+        : ErrorKind.NO_UPSTREAM;
+  }
+
   private Optional<PickedUpstream> acquire(String service, Predicate<Engine> eligible) {
     Optional<PlatformInstance> instance =
         upstreams.acquire(
--- a/server/src/test/java/org/marigoldmill/server/deployment/DeploymentCacheFuzzTest.java
+++ b/server/src/test/java/org/marigoldmill/server/deployment/DeploymentCacheFuzzTest.java
@@ -8,7 +8,9 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Random;
+import java.util.Set;
 import java.util.TreeMap;
+import java.util.TreeSet;
 import java.util.stream.Collectors;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
@@ -23,8 +25,8 @@
 import org.marigoldmill.server.store.Topic;
 
 /**
- * Processes that restart follow configurations, announced versions and engines over a store that
- * fails, returns partial and stale reads, and trims its history.
+ * Processes that restart follow configurations, announced versions, evacuated zones and engines
+ * over a store that fails, returns partial and stale reads, and trims its history.
  *
  * <p>Invariants: no version or incarnation decreases while a process runs, and every process knows
  * the latest state once the store answers.
@@ -51,6 +53,7 @@
 
     private ReaderProcess(LogStore operatorLog, LogStore engineLog) {
       operator = new PartitionFollower(operatorLog, OPERATOR, 0, 0, 0, state, System::nanoTime);
+      state.addEvacuationListener(registry::setEvacuatedZones);
       engines = new PartitionFollower(engineLog, REGISTRY, 0, 0, 0, registry, System::nanoTime);
     }
 
@@ -83,6 +86,7 @@
     private final Map<String, String> engines = new TreeMap<>();
     private long configVersion;
     private long announcedVersion;
+    private final Set<String> evacuatedZones = new TreeSet<>();
     private long incarnation;
 
     private Simulation(long seed) {
@@ -100,6 +104,8 @@
         operatorLog.put("config", Optional.of(bytes(configVersion += 1 + random.nextInt(3))));
       } else if (action < 20) {
         operatorLog.put("version/m", Optional.of(bytes(++announcedVersion)));
+      } else if (action < 23) {
+        writeEvacuation(List.of("y", "z").get(random.nextInt(2)));
       } else if (action < 40) {
         writeEngine("e" + random.nextInt(ENGINES));
       } else if (action < 44) {
@@ -114,6 +120,16 @@
       }
     }
 
+    private void writeEvacuation(String zone) {
+      boolean evacuated = random.nextBoolean();
+      if (evacuated) {
+        evacuatedZones.add(zone);
+      } else {
+        evacuatedZones.remove(zone);
+      }
+      operatorLog.put("evacuate/" + zone, evacuated ? Optional.of(bytes(1)) : Optional.empty());
+    }
+
     private void writeEngine(String id) {
       int action = random.nextInt(10);
       if (action < 2) {
@@ -135,6 +151,9 @@
       }
       assertThat(process.configVersion).isEqualTo(configVersion);
       assertThat(process.announcedVersion).isEqualTo(announcedVersion);
+      assertThat(process.state.evacuatedZones()).isEqualTo(evacuatedZones);
+      assertThat(evacuatedZones.contains("z") ? process.upstreams.usable("s") : List.of())
+          .isEmpty();
       Map<String, String> known =
           process.registry.enginesOf("s").stream()
               .collect(Collectors.toMap(Engine::id, Simulation::describe));
--- a/server/src/test/java/org/marigoldmill/server/deployment/EngineRegistryTest.java
+++ b/server/src/test/java/org/marigoldmill/server/deployment/EngineRegistryTest.java
@@ -5,6 +5,7 @@
 
 import java.util.Optional;
 import java.util.Random;
+import java.util.Set;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 import org.marigoldmill.core.routing.UpstreamTable;
@@ -65,6 +66,43 @@
     }
   }
 
+  @Nested
+  class SetEvacuatedZones {
+    @Test
+    void should_give_no_new_work_in_an_evacuated_zone_until_it_is_taken_back() {
+      // GIVEN
+      applyRecord("e", "1 ready");
+      // WHEN
+      registry.setEvacuatedZones(Set.of("z"));
+      // THEN
+      assertThat(upstreams.usable("s")).isEmpty();
+      assertThat(registry.availableEnginesOf("s")).isEmpty();
+      assertThat(registry.isAvailable("e")).isFalse();
+      registry.setEvacuatedZones(Set.of());
+      assertThat(upstreams.usable("s")).hasSize(1);
+      assertThat(registry.isAvailable("e")).isTrue();
+    }
+
+    @Test
+    void should_bind_engines_that_register_start_again_or_are_loaded_later() {
+      registry.setEvacuatedZones(Set.of("z"));
+      applyRecord("e", "1 ready");
+      assertThat(upstreams.usable("s")).isEmpty();
+      applyRecord("e", "2 ready");
+      assertThat(upstreams.usable("s")).isEmpty();
+      registry.load(() -> applyRecord("e", "2 ready"));
+      assertThat(upstreams.usable("s")).isEmpty();
+    }
+
+    @Test
+    void should_have_no_effect_when_no_zone_has_that_name() {
+      applyRecord("e", "1 ready");
+      registry.setEvacuatedZones(Set.of("typo"));
+      assertThat(upstreams.usable("s")).hasSize(1);
+      assertThat(registry.addresses()).containsExactly("a:1");
+    }
+  }
+
   @Nested
   class Apply {
     @Test
--- a/server/src/test/java/org/marigoldmill/server/deployment/TextCodec.java
+++ b/server/src/test/java/org/marigoldmill/server/deployment/TextCodec.java
@@ -8,7 +8,10 @@
 import org.marigoldmill.core.placement.Engine;
 import org.marigoldmill.core.route.DeploymentConfig;
 
-/** Decodes "VERSION" under "config" and "version/m", "INCARNATION STATE" under an engine's id. */
+/**
+ * Decodes "VERSION" under "config" and "version/m", "INCARNATION STATE" under an engine's id, and
+ * evacuated zones from keys "evacuate/ZONE".
+ */
 final class TextCodec implements DeploymentCodec {
   @Override
   public Optional<DeploymentConfig> decodeConfig(String key, byte[] value) {
@@ -30,6 +33,11 @@
         : Optional.empty();
   }
 
+  @Override
+  public Optional<String> decodeEvacuatedZone(String key) {
+    return key.startsWith("evacuate/") ? Optional.of(key.substring(9)) : Optional.empty();
+  }
+
   @Override
   public Optional<Engine> decodeEngine(String key, byte[] value) {
     List<String> words = List.of(new String(value, UTF_8).split(" ", -1));
