Send requests only to the regions that routes and organisations allow

Requests of a route or an organisation with allowed_regions reached upstreams in any region, and were relayed to instances in any region, because the field was not read.

AllowedZones is the outcome for one request; attempts, retries, resumed streams, items, moves of items, reward calls and relays use it. Where no allowed region has an upstream, callers are refused at once as "region-unavailable".

RelayPeersTest names the zones of each choice (all) since the parameter is new; its checks are unchanged.

Open: the owner of a model reads bodies of items in any region, and engines are allocated to models without regard to regions; see docs/design/allowed-regions.md.

--- a/cli/src/main/java/org/marigoldmill/cli/ServeDeploymentCommand.java
+++ b/cli/src/main/java/org/marigoldmill/cli/ServeDeploymentCommand.java
@@ -19,6 +19,9 @@
 final class ServeDeploymentCommand implements Command {
   private static final String SETTINGS_VARIABLE = "MARIGOLDMILL_CONFIG";
 
+  /** Table of the settings with the region of each availability zone. */
+  private static final String REGIONS_TABLE = "region_by_zone";
+
   /** Includes 300 ms for which a halting JVM may wait for threads in native code. */
   private static final long HALT_MARGIN_MS = 500;
 
@@ -48,10 +51,10 @@
   public int run(OptionSet options) throws InterruptedException {
     JsonLogging.queueToStandardOutput();
     Path file = settingsFile(options);
-    DeploymentSettings settings =
-        SettingsReader.read(file, DeploymentSettings.getDefaultInstance());
-    DeploymentInstance instance = PlatformAdapter.start(settings);
-    HangupSignal.handle(() -> validateChangedSettings(file, settings));
+    SettingsReader.WithTable<DeploymentSettings> read = read(file);
+    DeploymentSettings settings = read.settings();
+    DeploymentInstance instance = PlatformAdapter.start(settings, read.table());
+    HangupSignal.handle(() -> validateChangedSettings(file, read));
     Runtime.getRuntime()
         .addShutdownHook(
             new Thread(() -> drainAndExit(instance, settings.getGraceMs()), "shutdown"));
@@ -64,11 +67,11 @@
    *
    * <p>Changes take effect at the next start; validating on SIGHUP reveals mistakes before that.
    */
-  private static void validateChangedSettings(Path file, DeploymentSettings inForce) {
+  private static void validateChangedSettings(
+      Path file, SettingsReader.WithTable<DeploymentSettings> inForce) {
     FluentLogger logger = FluentLogger.forEnclosingClass();
     try {
-      DeploymentSettings changed =
-          SettingsReader.read(file, DeploymentSettings.getDefaultInstance());
+      SettingsReader.WithTable<DeploymentSettings> changed = read(file);
       logger.atInfo().log(
           "settings read again changed=%s in_force_from=next start", !changed.equals(inForce));
     } catch (InvalidSettings | UncheckedIOException e) {
@@ -77,6 +80,11 @@
     }
   }
 
+  private static SettingsReader.WithTable<DeploymentSettings> read(Path file) {
+    return SettingsReader.readWithTable(
+        file, DeploymentSettings.getDefaultInstance(), REGIONS_TABLE);
+  }
+
   private static Path settingsFile(OptionSet options) {
     String pathFromEnvironment = System.getenv(SETTINGS_VARIABLE);
     return options.has("settings") || pathFromEnvironment == null
--- a/cli/src/main/java/org/marigoldmill/cli/WarmUpCommand.java
+++ b/cli/src/main/java/org/marigoldmill/cli/WarmUpCommand.java
@@ -7,6 +7,7 @@
 import java.io.InputStream;
 import java.io.UncheckedIOException;
 import java.util.List;
+import java.util.Map;
 import joptsimple.OptionParser;
 import joptsimple.OptionSet;
 import org.marigoldmill.cli.logging.JsonLogging;
@@ -68,7 +69,7 @@
             .setWorkerThreads(2)
             .setParallelLoads(1)
             .build();
-    DeploymentInstance instance = PlatformAdapter.start(settings);
+    DeploymentInstance instance = PlatformAdapter.start(settings, Map.of());
     List<String> missing = loadListedClasses();
     if (!missing.isEmpty()) {
       // An archive with fewer classes only makes starts slower, so the build goes on.
--- a/core/src/main/java/org/marigoldmill/core/error/ErrorKind.java
+++ b/core/src/main/java/org/marigoldmill/core/error/ErrorKind.java
@@ -27,6 +27,8 @@
       502, true, Execution.MAYBE_RUN, "the upstream was lost before its answer was whole"),
   NO_UPSTREAM(503, true, Execution.NOT_RUN, "no upstream can take the request"),
   EVACUATED(503, true, Execution.NOT_RUN, "all zones with upstreams of the service are evacuated"),
+  REGION_UNAVAILABLE(
+      503, true, Execution.NOT_RUN, "no upstream in a region where the request may run"),
   DRAINING(503, true, Execution.NOT_RUN, "this instance is stopping"),
   KNOWLEDGE_STALE(503, true, Execution.NOT_RUN, "this instance may have missed changes"),
   NOT_CONFIGURED(503, true, Execution.NOT_RUN, "this instance has no configuration yet"),
--- a/core/src/main/java/org/marigoldmill/core/relay/RelayPeers.java
+++ b/core/src/main/java/org/marigoldmill/core/relay/RelayPeers.java
@@ -6,9 +6,11 @@
 import java.util.Objects;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Predicate;
 import java.util.random.RandomGenerator;
 import java.util.stream.Collectors;
 import java.util.stream.IntStream;
+import org.marigoldmill.core.placement.AllowedZones;
 
 /**
  * Chooses the instance that carries a request which this instance cannot send to an upstream.
@@ -99,11 +101,12 @@
    * Chooses an instance and counts one request as carried by it.
    *
    * @param excluded names of instances that must not be chosen
+   * @param zones zones to whose instances the request may be sent
    * @return the instance, or empty if none is known that can carry the request
    */
-  public synchronized Optional<Peer> acquire(Set<String> excluded, long nowMs) {
-    Optional<Peer> chosen =
-        choose(otherZones, excluded, nowMs).or(() -> choose(ownZone, excluded, nowMs));
+  public synchronized Optional<Peer> acquire(Set<String> excluded, AllowedZones zones, long nowMs) {
+    Predicate<Peer> usable = p -> zones.includes(p.zone()) && isUsable(p, excluded, nowMs);
+    Optional<Peer> chosen = choose(otherZones, usable).or(() -> choose(ownZone, usable));
     chosen.ifPresent(p -> load(p.name()).carried++);
     return chosen;
   }
@@ -139,11 +142,11 @@
     return load;
   }
 
-  private Optional<Peer> choose(List<Peer> from, Set<String> excluded, long nowMs) {
+  private Optional<Peer> choose(List<Peer> from, Predicate<Peer> mayCarry) {
     Peer first = null;
     for (int i = 0; i < SAMPLE_SIZE && !from.isEmpty(); i++) {
       Peer candidate = from.get(random.nextInt(from.size()));
-      boolean usable = isUsable(candidate, excluded, nowMs);
+      boolean usable = mayCarry.test(candidate);
       if (usable && first == null) {
         first = candidate;
       } else if (usable && !candidate.equals(first)) {
@@ -151,14 +154,14 @@
         return Optional.of(fewer ? candidate : first);
       }
     }
-    return first != null ? Optional.of(first) : scan(from, excluded, nowMs);
+    return first != null ? Optional.of(first) : scan(from, mayCarry);
   }
 
-  private Optional<Peer> scan(List<Peer> from, Set<String> excluded, long nowMs) {
+  private Optional<Peer> scan(List<Peer> from, Predicate<Peer> mayCarry) {
     int start = from.isEmpty() ? 0 : random.nextInt(from.size());
     return IntStream.range(0, Math.min(MAX_SCANNED, from.size()))
         .mapToObj(i -> from.get((start + i) % from.size()))
-        .filter(p -> isUsable(p, excluded, nowMs))
+        .filter(mayCarry)
         .findFirst();
   }
 
--- a/core/src/main/java/org/marigoldmill/core/route/DeploymentConfig.java
+++ b/core/src/main/java/org/marigoldmill/core/route/DeploymentConfig.java
@@ -4,7 +4,9 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.stream.Collectors;
+import java.util.stream.Stream;
 
 /**
  * A version of a deployment's configuration, indexed for look-ups.
@@ -18,7 +20,9 @@
   private final Map<String, List<Route>> routesByHost;
   private final Map<String, Service> services;
   private final Map<String, String> organisationByKey;
+  private final Map<String, Set<String>> regionsByOrganisation;
   private final Limits limits;
+  private final Set<String> mentionedRegions;
 
   /**
    * A service, which is provided by upstreams.
@@ -45,12 +49,30 @@
       Map<String, List<Route>> routesByHost,
       Map<String, Service> services,
       Map<String, String> organisationByKey,
+      Map<String, Set<String>> regionsByOrganisation,
       Limits limits) {
     this.version = version;
     this.routesByHost = routesByHost;
     this.services = services;
     this.organisationByKey = organisationByKey;
+    this.regionsByOrganisation = regionsByOrganisation;
     this.limits = limits;
+    this.mentionedRegions =
+        Stream.concat(
+                routes().stream().map(Route::allowedRegions),
+                regionsByOrganisation.values().stream())
+            .flatMap(Set::stream)
+            .collect(Collectors.toUnmodifiableSet());
+  }
+
+  /** Creates a configuration whose organisations may use all regions. */
+  public static DeploymentConfig of(
+      long version,
+      List<Route> routes,
+      List<Service> services,
+      Map<String, String> organisationByKey,
+      Limits limits) {
+    return of(version, routes, services, organisationByKey, Map.of(), limits);
   }
 
   /**
@@ -60,6 +82,8 @@
    * @param routes routes in any order
    * @param services services in any order
    * @param organisationByKey organisation by API key
+   * @param regionsByOrganisation regions in which requests of an organisation may run; all for an
+   *     organisation that is missing or has none
    * @param limits limits on requests
    * @return the configuration
    */
@@ -68,6 +92,7 @@
       List<Route> routes,
       List<Service> services,
       Map<String, String> organisationByKey,
+      Map<String, Set<String>> regionsByOrganisation,
       Limits limits) {
     Comparator<Route> longestFirst =
         Comparator.comparingInt((Route r) -> r.pathPrefix().length()).reversed();
@@ -75,7 +100,13 @@
         routes.stream().sorted(longestFirst).collect(Collectors.groupingBy(Route::host));
     Map<String, Service> byName =
         services.stream().collect(Collectors.toMap(Service::name, s -> s, (a, b) -> b));
-    return new DeploymentConfig(version, byHost, byName, Map.copyOf(organisationByKey), limits);
+    return new DeploymentConfig(
+        version,
+        byHost,
+        byName,
+        Map.copyOf(organisationByKey),
+        Map.copyOf(regionsByOrganisation),
+        limits);
   }
 
   /** Returns the version number. */
@@ -110,6 +141,21 @@
     return Optional.ofNullable(organisationByKey.get(key));
   }
 
+  /** Returns the regions in which requests of an organisation may run; empty for all. */
+  public Set<String> allowedRegions(String organisation) {
+    return regionsByOrganisation.getOrDefault(organisation, Set.of());
+  }
+
+  /** Returns all regions that routes or organisations name. */
+  public Set<String> mentionedRegions() {
+    return mentionedRegions;
+  }
+
+  /** Returns whether any route or organisation is restricted to regions. */
+  public boolean restrictsRegions() {
+    return !mentionedRegions.isEmpty();
+  }
+
   /** Returns the limits on requests. */
   public Limits limits() {
     return limits;
--- a/core/src/main/java/org/marigoldmill/core/route/Route.java
+++ b/core/src/main/java/org/marigoldmill/core/route/Route.java
@@ -1,6 +1,7 @@
 package org.marigoldmill.core.route;
 
 import java.util.List;
+import java.util.Set;
 
 /**
  * Rule that routes requests of a host and path prefix to services.
@@ -21,6 +22,7 @@
  *     weights
  * @param dueMs time within which the results of a submission are due, in milliseconds
  * @param giveUpMs time after which an item of a submission may be given up, in milliseconds
+ * @param allowedRegions regions in which the requests may run; empty for all
  */
 public record Route(
     String name,
@@ -37,7 +39,8 @@
     boolean resumable,
     boolean singleVersion,
     long dueMs,
-    long giveUpMs) {
+    long giveUpMs,
+    Set<String> allowedRegions) {
 
   /** Kind of a route's requests. */
   public enum Kind {
@@ -91,7 +94,8 @@
         resumable,
         singleVersion,
         dueMs,
-        giveUpMs);
+        giveUpMs,
+        allowedRegions);
   }
 
   /** Returns whether a request on this route may be sent to an upstream more than once. */
--- a/core/src/test/java/org/marigoldmill/core/relay/RelayPeersTest.java
+++ b/core/src/test/java/org/marigoldmill/core/relay/RelayPeersTest.java
@@ -16,6 +16,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.marigoldmill.core.placement.AllowedZones;
 import org.marigoldmill.core.relay.RelayPeers.Peer;
 
 class RelayPeersTest {
@@ -33,7 +34,7 @@
       peers.put(peer(0, 1, true));
       peers.put(peer(1, 1, false));
       // WHEN
-      Optional<Peer> chosen = peers.acquire(Set.of(), 0);
+      Optional<Peer> chosen = peers.acquire(Set.of(), AllowedZones.ALL, 0);
       // THEN
       assertThat(chosen).isEmpty();
       assertThat(peers.anyReachesUpstreams()).isFalse();
@@ -45,7 +46,8 @@
       IntStream.range(1, 12).forEach(i -> peers.put(peer(i, 3, true)));
       // WHEN
       Set<String> zones = new HashSet<>();
-      IntStream.range(0, 50).forEach(i -> zones.add(peers.acquire(Set.of(), 0).get().zone()));
+      IntStream.range(0, 50)
+          .forEach(i -> zones.add(peers.acquire(Set.of(), AllowedZones.ALL, 0).get().zone()));
       // THEN
       assertThat(zones).containsExactlyInAnyOrder("z1", "z2");
     }
@@ -54,24 +56,40 @@
     void should_pass_over_an_instance_for_longer_each_time_that_it_is_lost() {
       // GIVEN
       peers.put(peer(1, 1, true));
-      peers.acquire(Set.of(), 0);
+      peers.acquire(Set.of(), AllowedZones.ALL, 0);
       peers.recordLost("i1", 0);
-      peers.acquire(Set.of(), 250);
+      peers.acquire(Set.of(), AllowedZones.ALL, 250);
       peers.recordLost("i1", 250);
       // WHEN
-      Optional<Peer> soon = peers.acquire(Set.of(), 740);
-      Optional<Peer> later = peers.acquire(Set.of(), 750);
+      Optional<Peer> soon = peers.acquire(Set.of(), AllowedZones.ALL, 740);
+      Optional<Peer> later = peers.acquire(Set.of(), AllowedZones.ALL, 750);
       // THEN
       assertThat(soon).isEmpty();
       assertThat(later).isPresent();
     }
 
+    @Test
+    void should_choose_only_instances_in_zones_where_the_request_is_allowed() {
+      // GIVEN
+      IntStream.range(1, 301).forEach(i -> peers.put(peer(i, 8, true)));
+      AllowedZones near = AllowedZones.of(Map.of("z5", "near"), List.of(Set.of("near")));
+      AllowedZones nowhere = AllowedZones.of(Map.of("z5", "near"), List.of(Set.of("far")));
+      // WHEN
+      Set<String> zones =
+          IntStream.range(0, 300)
+              .mapToObj(i -> peers.acquire(Set.of(), near, 0).orElseThrow().zone())
+              .collect(Collectors.toSet());
+      // THEN
+      assertThat(zones).containsExactly("z5");
+      assertThat(peers.acquire(Set.of(), nowhere, 0)).isEmpty();
+    }
+
     @Test
     void should_not_return_to_instances_that_were_tried() {
       // GIVEN
       IntStream.range(1, 4).forEach(i -> peers.put(peer(i, 1, true)));
       // WHEN
-      Optional<Peer> chosen = peers.acquire(Set.of("i1", "i3"), 0);
+      Optional<Peer> chosen = peers.acquire(Set.of("i1", "i3"), AllowedZones.ALL, 0);
       // THEN
       assertThat(chosen.map(Peer::name)).contains("i2");
     }
@@ -118,7 +136,7 @@
       RelayPeers known = new RelayPeers(self.name(), self.zone(), random);
       fleet.forEach(known::put);
       return IntStream.range(0, CALLS_IN_PROGRESS)
-          .mapToObj(i -> known.acquire(Set.of(), 0).orElseThrow());
+          .mapToObj(i -> known.acquire(Set.of(), AllowedZones.ALL, 0).orElseThrow());
     }
   }
 }
--- a/core/src/test/java/org/marigoldmill/core/route/DeploymentConfigTest.java
+++ b/core/src/test/java/org/marigoldmill/core/route/DeploymentConfigTest.java
@@ -4,6 +4,7 @@
 
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.stream.IntStream;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
@@ -67,6 +68,7 @@
         false,
         false,
         0,
-        0);
+        0,
+        Set.of());
   }
 }
--- a/server/src/main/java/org/marigoldmill/server/DeploymentInstance.java
+++ b/server/src/main/java/org/marigoldmill/server/DeploymentInstance.java
@@ -6,6 +6,7 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Queue;
 import java.util.concurrent.ConcurrentLinkedQueue;
@@ -32,6 +33,7 @@
 import org.marigoldmill.server.deployment.DeploymentState;
 import org.marigoldmill.server.deployment.EngineRegistry;
 import org.marigoldmill.server.deployment.PlatformPorts;
+import org.marigoldmill.server.deployment.RegionRules;
 import org.marigoldmill.server.duty.CrashLog;
 import org.marigoldmill.server.duty.DutyLeaseHolder;
 import org.marigoldmill.server.duty.FleetLog;
@@ -60,7 +62,7 @@
  * A running entry instance of a deployment whose platform stores all persistent state.
  *
  * <pre>{@code
- * DeploymentInstance instance = DeploymentInstance.start(settings, ports, "/ready");
+ * DeploymentInstance instance = DeploymentInstance.start(settings, Map.of(), ports, "/ready");
  * instance.awaitStopped();
  * }</pre>
  */
@@ -122,7 +124,11 @@
   private final DeploymentServers servers;
   private Runnable publishUsage = () -> {};
 
-  private DeploymentInstance(DeploymentSettings settings, PlatformPorts ports, String readyPath) {
+  private DeploymentInstance(
+      DeploymentSettings settings,
+      Map<String, String> regionByZone,
+      PlatformPorts ports,
+      String readyPath) {
     this.settings = settings;
     this.ports = ports;
     this.deployment = new DeploymentState(ports.codec());
@@ -197,10 +203,12 @@
         new RelayClient(pathMonitor, peers, register(HttpClient.create("instances", 1)), clock);
     Forwarder forwarder =
         new Forwarder(picker, upstreams, sender, crashDetector, pathMonitor, relay, clock);
+    RegionRules regions = new RegionRules(deployment, regionByZone);
     ModelEngineAllocator shares = new ModelEngineAllocator(deployment, engines, partitions);
     this.rollouts =
         new Rollouts(
             deployment,
+            regions,
             partitions,
             membership,
             shares,
@@ -228,6 +236,7 @@
         new Gateway(
             ports.callers(),
             deployment,
+            regions,
             operatorFollower::overdueMs,
             forwarder,
             new StreamForwarder(
@@ -248,11 +257,15 @@
   /**
    * Starts an instance.
    *
+   * @param regionByZone region of each availability zone; empty if no request is restricted to any
    * @param readyPath path of the load balancer's readiness check
    */
   public static DeploymentInstance start(
-      DeploymentSettings settings, PlatformPorts ports, String readyPath) {
-    DeploymentInstance instance = new DeploymentInstance(settings, ports, readyPath);
+      DeploymentSettings settings,
+      Map<String, String> regionByZone,
+      PlatformPorts ports,
+      String readyPath) {
+    DeploymentInstance instance = new DeploymentInstance(settings, regionByZone, ports, readyPath);
     logger.atInfo().log(
         "started instance=%s zone=%s store=%s",
         settings.getInstance(), settings.getZone(), settings.getStore());
--- a/server/src/main/java/org/marigoldmill/server/batch/ItemRunner.java
+++ b/server/src/main/java/org/marigoldmill/server/batch/ItemRunner.java
@@ -28,6 +28,7 @@
 import org.marigoldmill.server.Metrics;
 import org.marigoldmill.server.Pause;
 import org.marigoldmill.server.deployment.DeploymentState;
+import org.marigoldmill.server.deployment.RegionRules;
 import org.marigoldmill.server.deployment.UpstreamProtocol;
 import org.marigoldmill.server.gateway.Forwarder;
 import org.marigoldmill.server.gateway.UpstreamSender;
@@ -49,6 +50,7 @@
   private static final long COMMIT_TIMEOUT_MS = 5_000;
 
   private final DeploymentState deployment;
+  private final RegionRules regions;
   private final EngineLoads loads;
   private final EngineVersions versions;
   private final UpstreamSender sender;
@@ -59,6 +61,7 @@
 
   ItemRunner(
       DeploymentState deployment,
+      RegionRules regions,
       EngineLoads loads,
       EngineVersions versions,
       UpstreamSender sender,
@@ -67,6 +70,7 @@
       Metrics metrics,
       Clock clock) {
     this.deployment = deployment;
+    this.regions = regions;
     this.loads = loads;
     this.versions = versions;
     this.sender = sender;
@@ -273,7 +277,7 @@
   private Optional<String> score(ItemTask task) {
     int failures = 0;
     while (!task.cancelled()) {
-      Forwarder.Outcome outcome = callReward(task.item().getReward());
+      Forwarder.Outcome outcome = callReward(task.item().getReward(), task.submission());
       Optional<String> proof =
           outcome
               .response()
@@ -301,7 +305,7 @@
     return Optional.empty();
   }
 
-  private Forwarder.Outcome callReward(RewardCall reward) {
+  private Forwarder.Outcome callReward(RewardCall reward, Submission submission) {
     Optional<Route> route = rewardRoute(reward);
     if (route.isEmpty()) {
       return new Forwarder.Outcome(Optional.empty(), ErrorKind.NOT_FOUND, false, 0, 0, "", 0);
@@ -320,7 +324,8 @@
             Urgency.BACKGROUND,
             clock.now() + REWARD_TIMEOUT_MS,
             new Cancellation(),
-            Optional.empty()));
+            Optional.empty(),
+            regions.zones(route.get(), submission.getOrganisation())));
   }
 
   private Optional<Route> rewardRoute(RewardCall reward) {
--- a/server/src/main/java/org/marigoldmill/server/batch/RolloutScheduler.java
+++ b/server/src/main/java/org/marigoldmill/server/batch/RolloutScheduler.java
@@ -15,6 +15,7 @@
 import org.marigoldmill.core.continuation.Continuation;
 import org.marigoldmill.core.limit.EngineLimits;
 import org.marigoldmill.core.limit.Urgency;
+import org.marigoldmill.core.placement.AllowedZones;
 import org.marigoldmill.core.placement.Engine;
 import org.marigoldmill.core.placement.EngineLoads;
 import org.marigoldmill.core.placement.MovePolicy;
@@ -22,6 +23,7 @@
 import org.marigoldmill.schema.submission.RolloutItem;
 import org.marigoldmill.schema.submission.Submission;
 import org.marigoldmill.server.Clock;
+import org.marigoldmill.server.deployment.RegionRules;
 import org.marigoldmill.server.duty.FleetLog;
 
 /** Assigns the open items of the models that this instance owns to engines. */
@@ -52,6 +54,7 @@
   private final SubmissionPartitions partitions;
   private final RolloutMembership membership;
   private final ModelEngineAllocator allocator;
+  private final RegionRules regions;
   private final EngineLoads loads;
   private final EngineLimits limits;
   private final EngineVersions versions;
@@ -78,6 +81,7 @@
       SubmissionPartitions partitions,
       RolloutMembership membership,
       ModelEngineAllocator allocator,
+      RegionRules regions,
       EngineLoads loads,
       EngineLimits limits,
       EngineVersions versions,
@@ -90,6 +94,7 @@
     this.partitions = partitions;
     this.membership = membership;
     this.allocator = allocator;
+    this.regions = regions;
     this.loads = loads;
     this.limits = limits;
     this.versions = versions;
@@ -226,14 +231,16 @@
   private Continuation.Choice choose(
       ItemTask task, Map<String, List<Engine>> enginesByModel, long now) {
     Submission submission = task.submission();
-    List<Engine> allocated = enginesByModel.getOrDefault(submission.getModel(), List.of());
+    AllowedZones zones = regions.zones(submission, task.item());
+    List<Engine> allocated =
+        within(zones, enginesByModel.getOrDefault(submission.getModel(), List.of()));
     Optional<String> begunWith = task.text().softwareVersion();
     List<Engine> others =
         begunWith.isEmpty()
             ? List.of()
             : enginesByModel.values().stream()
                 .flatMap(List::stream)
-                .filter(e -> !allocated.contains(e))
+                .filter(e -> !allocated.contains(e) && zones.includes(e.zone()))
                 .toList();
     return Continuation.choose(
         begunWith,
@@ -243,6 +250,12 @@
         task.waitedMs(now));
   }
 
+  private static List<Engine> within(AllowedZones zones, List<Engine> engines) {
+    return zones.restricted()
+        ? engines.stream().filter(e -> zones.includes(e.zone())).toList()
+        : engines;
+  }
+
   private List<Engine> ableToRun(List<Engine> engines, Submission submission, long now) {
     return engines.stream().filter(e -> canRun(e, submission, now)).toList();
   }
@@ -309,8 +322,14 @@
       String model, String software, List<ItemTask> running, List<Engine> engines, long now) {
     long minVersion =
         running.stream().mapToLong(t -> t.submission().getMinVersion()).max().orElse(0);
+    List<AllowedZones> zones =
+        running.stream()
+            .map(t -> regions.zones(t.submission(), t.item()))
+            .filter(AllowedZones::restricted)
+            .toList();
     List<MovePolicy.Room> rooms =
         engines.stream()
+            .filter(e -> zones.stream().allMatch(z -> z.includes(e.zone())))
             .filter(e -> !versions.loading(e.id(), model, now))
             .filter(e -> versions.expectedVersion(e.id(), model, now) >= minVersion)
             .filter(e -> !limits.isLimited(e.id()))
--- a/server/src/main/java/org/marigoldmill/server/batch/Rollouts.java
+++ b/server/src/main/java/org/marigoldmill/server/batch/Rollouts.java
@@ -9,6 +9,7 @@
 import org.marigoldmill.server.Clock;
 import org.marigoldmill.server.Metrics;
 import org.marigoldmill.server.deployment.DeploymentState;
+import org.marigoldmill.server.deployment.RegionRules;
 import org.marigoldmill.server.duty.FleetLog;
 import org.marigoldmill.server.gateway.Forwarder;
 import org.marigoldmill.server.gateway.UpstreamSender;
@@ -27,6 +28,7 @@
    */
   public Rollouts(
       DeploymentState deployment,
+      RegionRules regions,
       SubmissionPartitions partitions,
       RolloutMembership membership,
       ModelEngineAllocator allocator,
@@ -42,12 +44,14 @@
       Clock clock) {
     EngineLoads loads = new EngineLoads();
     ItemRunner runner =
-        new ItemRunner(deployment, loads, versions, sender, forwarder, partitions, metrics, clock);
+        new ItemRunner(
+            deployment, regions, loads, versions, sender, forwarder, partitions, metrics, clock);
     this.scheduler =
         new RolloutScheduler(
             partitions,
             membership,
             allocator,
+            regions,
             loads,
             limits,
             versions,
--- a/server/src/main/java/org/marigoldmill/server/gateway/Forwarder.java
+++ b/server/src/main/java/org/marigoldmill/server/gateway/Forwarder.java
@@ -11,6 +11,7 @@
 import org.marigoldmill.core.error.ErrorKind;
 import org.marigoldmill.core.limit.LimitWait;
 import org.marigoldmill.core.limit.Urgency;
+import org.marigoldmill.core.placement.AllowedZones;
 import org.marigoldmill.core.placement.Engine;
 import org.marigoldmill.core.relay.RelayPeers.Peer;
 import org.marigoldmill.core.route.Route;
@@ -59,6 +60,7 @@
    * @param deadlineMs time on the monotonic clock until which the caller waits, in milliseconds
    * @param cancellation cancelled when the caller disconnects
    * @param relay lets another instance carry the request; empty if none may
+   * @param zones zones in which the request may run and to whose instances it may be sent
    */
   @SuppressWarnings("ArrayRecordComponent")
   public record Request(
@@ -74,7 +76,18 @@
       Urgency urgency,
       long deadlineMs,
       Cancellation cancellation,
-      Optional<RelayOrder> relay) {
+      Optional<RelayOrder> relay,
+      AllowedZones zones) {
+
+    /** Returns whether an upstream is in a region where the request may run. */
+    boolean mayRunAt(Engine upstream) {
+      return zones.includes(upstream.zone());
+    }
+
+    /** Returns why no instance may carry the request. */
+    ErrorKind unrelayed() {
+      return zones.restricted() ? ErrorKind.REGION_UNAVAILABLE : ErrorKind.NO_UPSTREAM;
+    }
 
     /**
      * Returns an attempt at an upstream.
@@ -243,8 +256,11 @@
     /** Lets another instance carry the request; returns whether it was sent. */
     private boolean sendThroughPeer(long remainingMs) {
       Optional<Peer> chosen =
-          request.relay().isPresent() ? relay.acquire(triedPeers) : Optional.empty();
+          request.relay().isPresent()
+              ? relay.acquire(triedPeers, request.zones())
+              : Optional.empty();
       if (chosen.isEmpty()) {
+        record.recordUnavailable(request.unrelayed());
         return false;
       }
       Peer peer = chosen.get();
@@ -296,11 +312,14 @@
       long maxWaitMs = LimitWait.maxMs(request.route(), remainingMs);
       Pick pick =
           picker.pick(
-              request.service(), request.urgency(), e -> !tried.contains(e.id()), maxWaitMs);
+              request.service(),
+              request.urgency(),
+              e -> !tried.contains(e.id()) && request.mayRunAt(e),
+              maxWaitMs);
       if (pick.picked().isEmpty() && !tried.isEmpty()) {
         tried.clear();
         Pause.millis(RETRY_DELAY_MS);
-        pick = picker.pick(request.service(), request.urgency(), e -> true, maxWaitMs);
+        pick = picker.pick(request.service(), request.urgency(), request::mayRunAt, maxWaitMs);
       }
       return pick;
     }
@@ -312,7 +331,7 @@
             "request beyond limits id=%s service=%s urgency=%s turn_in_ms=%s retry_after_ms=%d",
             request.id(), request.service(), request.urgency(), pick.turnInMs(), retryAfterMs);
       } else {
-        record.recordUnavailable(picker.unavailability(request.service()));
+        record.recordUnavailable(picker.unavailability(request.service(), request.zones()));
       }
     }
 
--- a/server/src/main/java/org/marigoldmill/server/gateway/Gateway.java
+++ b/server/src/main/java/org/marigoldmill/server/gateway/Gateway.java
@@ -25,6 +25,7 @@
 import org.marigoldmill.server.Metrics;
 import org.marigoldmill.server.deployment.CallerProtocol;
 import org.marigoldmill.server.deployment.DeploymentState;
+import org.marigoldmill.server.deployment.RegionRules;
 import org.marigoldmill.server.duty.UsageCounter;
 import org.marigoldmill.server.relay.RelayOrder;
 import org.marigoldmill.server.relay.RelayProtocol;
@@ -50,6 +51,7 @@
 
   private final CallerProtocol protocol;
   private final DeploymentState deployment;
+  private final RegionRules regions;
   private final LongSupplier configOverdueMs;
   private final Forwarder forwarder;
   private final StreamForwarder streamForwarder;
@@ -70,6 +72,7 @@
   public Gateway(
       CallerProtocol protocol,
       DeploymentState deployment,
+      RegionRules regions,
       LongSupplier configOverdueMs,
       Forwarder forwarder,
       StreamForwarder streamForwarder,
@@ -79,6 +82,7 @@
       Clock clock) {
     this.protocol = protocol;
     this.deployment = deployment;
+    this.regions = regions;
     this.configOverdueMs = configOverdueMs;
     this.forwarder = forwarder;
     this.streamForwarder = streamForwarder;
@@ -429,7 +433,8 @@
                     new RelayOrder(
                         config.version(),
                         (remainingMs, resumeAfter) ->
-                            protocol.relayedHeaders(exchange, remainingMs, resumeAfter))));
+                            protocol.relayedHeaders(exchange, remainingMs, resumeAfter))),
+            regions.zones(config, route, organisation));
     if (route.streaming()) {
       return forwardStream(exchange, request);
     }
--- a/server/src/main/java/org/marigoldmill/server/gateway/StreamForwarder.java
+++ b/server/src/main/java/org/marigoldmill/server/gateway/StreamForwarder.java
@@ -235,8 +235,11 @@
     /** Lets another instance carry the stream; returns whether another attempt may follow. */
     private boolean sendThroughPeer(long remainingMs) {
       Optional<Peer> chosen =
-          request.relay().isPresent() ? relay.acquire(triedPeers) : Optional.empty();
+          request.relay().isPresent()
+              ? relay.acquire(triedPeers, request.zones())
+              : Optional.empty();
       if (chosen.isEmpty()) {
+        record.recordUnavailable(request.unrelayed());
         return false;
       }
       Peer peer = chosen.get();
@@ -296,6 +299,9 @@
 
     /** Returns whether an engine may begin the stream, or continue it where it was left. */
     private boolean mayRun(Engine candidate) {
+      if (!request.mayRunAt(candidate)) {
+        return false;
+      }
       String version = candidate.softwareVersion();
       return softwareVersion.isPresent()
           ? softwareVersion.get().equals(version)
@@ -309,7 +315,7 @@
             "stream beyond limits id=%s service=%s turn_in_ms=%s retry_after_ms=%d",
             request.id(), request.service(), pick.turnInMs(), retryAfterMs);
       } else {
-        record.recordUnavailable(picker.unavailability(request.service()));
+        record.recordUnavailable(picker.unavailability(request.service(), request.zones()));
       }
     }
 
--- a/server/src/main/java/org/marigoldmill/server/gateway/UpstreamPicker.java
+++ b/server/src/main/java/org/marigoldmill/server/gateway/UpstreamPicker.java
@@ -9,6 +9,7 @@
 import org.marigoldmill.core.error.ErrorKind;
 import org.marigoldmill.core.limit.EngineLimits;
 import org.marigoldmill.core.limit.Urgency;
+import org.marigoldmill.core.placement.AllowedZones;
 import org.marigoldmill.core.placement.Engine;
 import org.marigoldmill.core.routing.UpstreamTable;
 import org.marigoldmill.schema.platform.PlatformInstance;
@@ -134,10 +135,20 @@
     return available;
   }
 
-  /** Returns why no upstream of a service may be sent a request. */
-  ErrorKind unavailability(String service) {
-    List<Engine> engines = registry.enginesOf(service).stream().filter(e -> !e.draining()).toList();
-    return !engines.isEmpty() && engines.stream().allMatch(registry::isEvacuated)
+  /**
+   * Returns why no upstream of a service may be sent a request.
+   *
+   * @param zones zones in which the request may run
+   */
+  ErrorKind unavailability(String service, AllowedZones zones) {
+    List<Engine> engines =
+        registry.enginesOf(service).stream()
+            .filter(e -> !e.draining() && zones.includes(e.zone()))
+            .toList();
+    if (engines.isEmpty()) {
+      return zones.restricted() ? ErrorKind.REGION_UNAVAILABLE : ErrorKind.NO_UPSTREAM;
+    }
+    return engines.stream().allMatch(registry::isEvacuated)
         ? ErrorKind.EVACUATED
         : ErrorKind.NO_UPSTREAM;
   }
--- a/server/src/main/java/org/marigoldmill/server/relay/RelayClient.java
+++ b/server/src/main/java/org/marigoldmill/server/relay/RelayClient.java
@@ -5,6 +5,7 @@
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.stream.Stream;
+import org.marigoldmill.core.placement.AllowedZones;
 import org.marigoldmill.core.relay.RelayPeers;
 import org.marigoldmill.core.relay.RelayPeers.Peer;
 import org.marigoldmill.http.Cancellation;
@@ -75,11 +76,12 @@
    * Chooses an instance to carry a request; its end must be recorded.
    *
    * @param tried names of the instances that the request has been sent to
+   * @param zones zones to whose instances the request may be sent
    */
-  public Optional<Peer> acquire(Set<String> tried) {
+  public Optional<Peer> acquire(Set<String> tried, AllowedZones zones) {
     return tried.size() >= MAX_PEERS_PER_REQUEST
         ? Optional.empty()
-        : peers.acquire(tried, clock.now());
+        : peers.acquire(tried, zones, clock.now());
   }
 
   /**
--- a/server/src/main/java/org/marigoldmill/server/settings/SettingsReader.java
+++ b/server/src/main/java/org/marigoldmill/server/settings/SettingsReader.java
@@ -2,6 +2,7 @@
 
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
 import com.fasterxml.jackson.dataformat.toml.TomlMapper;
 import com.google.protobuf.Descriptors.Descriptor;
 import com.google.protobuf.Descriptors.FieldDescriptor;
@@ -12,7 +13,9 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
+import java.util.TreeMap;
 import java.util.stream.Collectors;
 import org.marigoldmill.core.rules.RuleChecker;
 import org.marigoldmill.core.rules.ShouldMatchRule;
@@ -38,8 +41,31 @@
    * @throws UncheckedIOException if the file cannot be read
    */
   public static <M extends Message> M read(Path file, M prototype) {
+    return parse(file.toString(), textOf(file), prototype);
+  }
+
+  /**
+   * Settings and a table of texts whose keys are names that the schema does not know.
+   *
+   * @param table texts by key; empty if the file has no such table
+   */
+  public record WithTable<M extends Message>(M settings, Map<String, String> table) {}
+
+  /**
+   * Reads and validates a settings file that may have a table of texts.
+   *
+   * @param tableKey key of the table
+   * @throws InvalidSettings if the file is invalid; the message lists all violations
+   * @throws UncheckedIOException if the file cannot be read
+   */
+  public static <M extends Message> WithTable<M> readWithTable(
+      Path file, M prototype, String tableKey) {
+    return parseWithTable(file.toString(), textOf(file), prototype, tableKey);
+  }
+
+  private static String textOf(Path file) {
     try {
-      return parse(file.toString(), Files.readString(file), prototype);
+      return Files.readString(file);
     } catch (IOException e) {
       throw new UncheckedIOException("cannot read " + file, e);
     }
@@ -56,8 +82,41 @@
    */
   public static <M extends Message> M parse(String file, String toml, M prototype) {
     List<Violation> violations = new ArrayList<>();
-    Message.Builder builder = prototype.newBuilderForType();
+    return build(file, parseToml(toml, violations), prototype, violations);
+  }
+
+  /** Parses and validates the text of a settings file that may have a table of texts. */
+  static <M extends Message> WithTable<M> parseWithTable(
+      String file, String toml, M prototype, String tableKey) {
+    List<Violation> violations = new ArrayList<>();
     Optional<JsonNode> root = parseToml(toml, violations);
+    Map<String, String> table = new TreeMap<>();
+    root.filter(ObjectNode.class::isInstance)
+        .flatMap(r -> Optional.ofNullable(((ObjectNode) r).remove(tableKey)))
+        .ifPresent(node -> readTexts(tableKey, node, table, violations));
+    return new WithTable<>(build(file, root, prototype, violations), Map.copyOf(table));
+  }
+
+  private static void readTexts(
+      String tableKey, JsonNode node, Map<String, String> table, List<Violation> violations) {
+    if (!node.isObject()) {
+      violations.add(new Violation(tableKey, "a table", "'" + node + "'"));
+    }
+    node.properties()
+        .forEach(
+            e -> {
+              if (e.getValue().isTextual()) {
+                table.put(e.getKey(), e.getValue().textValue());
+              } else {
+                String key = tableKey + "." + e.getKey();
+                violations.add(new Violation(key, "a text", "'" + e.getValue() + "'"));
+              }
+            });
+  }
+
+  private static <M extends Message> M build(
+      String file, Optional<JsonNode> root, M prototype, List<Violation> violations) {
+    Message.Builder builder = prototype.newBuilderForType();
     root.ifPresent(r -> readTable("", r, builder, violations));
     if (root.isPresent()) {
       RuleChecker.check(builder.build()).stream()
--- a/server/src/test/java/org/marigoldmill/server/gateway/UpstreamPickerTest.java
+++ b/server/src/test/java/org/marigoldmill/server/gateway/UpstreamPickerTest.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Random;
@@ -11,6 +12,7 @@
 import org.marigoldmill.core.error.ErrorKind;
 import org.marigoldmill.core.limit.EngineLimits;
 import org.marigoldmill.core.limit.Urgency;
+import org.marigoldmill.core.placement.AllowedZones;
 import org.marigoldmill.core.placement.Engine;
 import org.marigoldmill.core.route.DeploymentConfig;
 import org.marigoldmill.core.routing.UpstreamTable;
@@ -63,6 +65,10 @@
     return picker.pick("s", Urgency.CALL, e -> true, 0).picked().orElseThrow();
   }
 
+  private static AllowedZones zones(String region) {
+    return AllowedZones.of(Map.of("a", "near"), List.of(Set.of(region)));
+  }
+
   @Test
   void should_give_up_an_upstream_that_is_evacuated_while_its_turn_is_awaited() {
     // GIVEN
@@ -78,10 +84,12 @@
 
   @Test
   void should_tell_evacuated_zones_from_missing_upstreams() {
-    assertThat(picker.unavailability("unknown")).isEqualTo(ErrorKind.NO_UPSTREAM);
+    assertThat(picker.unavailability("unknown", AllowedZones.ALL)).isEqualTo(ErrorKind.NO_UPSTREAM);
     registry.setEvacuatedZones(Set.of("a"));
-    assertThat(picker.unavailability("s")).isEqualTo(ErrorKind.NO_UPSTREAM);
+    assertThat(picker.unavailability("s", AllowedZones.ALL)).isEqualTo(ErrorKind.NO_UPSTREAM);
+    assertThat(picker.unavailability("s", zones("near"))).isEqualTo(ErrorKind.EVACUATED);
+    assertThat(picker.unavailability("s", zones("far"))).isEqualTo(ErrorKind.REGION_UNAVAILABLE);
     registry.setEvacuatedZones(Set.of("a", "b"));
-    assertThat(picker.unavailability("s")).isEqualTo(ErrorKind.EVACUATED);
+    assertThat(picker.unavailability("s", AllowedZones.ALL)).isEqualTo(ErrorKind.EVACUATED);
   }
 }
--- a/server/src/test/java/org/marigoldmill/server/settings/SettingsReaderTest.java
+++ b/server/src/test/java/org/marigoldmill/server/settings/SettingsReaderTest.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
+import java.util.Map;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 import org.marigoldmill.schema.settings.ServeSettings;
@@ -26,6 +27,11 @@
     return SettingsReader.parse("entry.toml", toml, ServeSettings.getDefaultInstance());
   }
 
+  private static SettingsReader.WithTable<ServeSettings> parseWithTable(String toml) {
+    return SettingsReader.parseWithTable(
+        "entry.toml", toml, ServeSettings.getDefaultInstance(), "regions");
+  }
+
   @Nested
   class Parse {
     @Test
@@ -61,6 +67,17 @@
           .satisfies(e -> assertThat(e.getMessage().lines()).hasSize(5));
     }
 
+    @Test
+    void should_read_a_table_of_texts_beside_the_settings() {
+      String toml = "regions = { \"a-1\" = \"north\" }\n" + VALID;
+      assertThat(parseWithTable(toml).table()).containsExactly(Map.entry("a-1", "north"));
+      assertThat(parseWithTable(VALID).table()).isEmpty();
+      assertThatThrownBy(() -> parseWithTable(toml.replace("\"north\"", "7")))
+          .hasMessageContaining("entry.toml: regions.a-1: expected a text but found '7'");
+      assertThatThrownBy(() -> parseWithTable("regions = 7\n" + VALID))
+          .hasMessageContaining("entry.toml: regions: expected a table but found '7'");
+    }
+
     @Test
     void should_report_the_line_when_the_text_is_not_toml() {
       // WHEN, THEN
