--- a/server/src/main/java/org/marigoldmill/server/batch/ItemRunner.java
+++ b/server/src/main/java/org/marigoldmill/server/batch/ItemRunner.java
@@ -30,6 +30,7 @@
 import org.marigoldmill.server.Metrics;
 import org.marigoldmill.server.Pause;
 import org.marigoldmill.server.deployment.DeploymentState;
+import org.marigoldmill.server.deployment.RegionRules;
 import org.marigoldmill.server.deployment.UpstreamProtocol;
 import org.marigoldmill.server.gateway.Forwarder;
 import org.marigoldmill.server.gateway.UpstreamSender;
@@ -51,6 +52,7 @@
   private static final long COMMIT_TIMEOUT_MS = 5_000;
 
   private final DeploymentState deployment;
+  private final RegionRules regions;
   private final EngineLoads loads;
   private final RunLengths lengths;
   private final SlotTimes slotTimes;
@@ -63,6 +65,7 @@
 
   ItemRunner(
       DeploymentState deployment,
+      RegionRules regions,
       EngineLoads loads,
       RunLengths lengths,
       SlotTimes slotTimes,
@@ -73,6 +76,7 @@
       Metrics metrics,
       Clock clock) {
     this.deployment = deployment;
+    this.regions = regions;
     this.loads = loads;
     this.lengths = lengths;
     this.slotTimes = slotTimes;
@@ -289,7 +293,7 @@
   private Optional<String> score(ItemTask task) {
     int failures = 0;
     while (!task.cancelled()) {
-      Forwarder.Outcome outcome = callReward(task.item().getReward());
+      Forwarder.Outcome outcome = callReward(task.item().getReward(), task.submission());
       Optional<String> proof =
           outcome
               .response()
@@ -317,7 +321,7 @@
     return Optional.empty();
   }
 
-  private Forwarder.Outcome callReward(RewardCall reward) {
+  private Forwarder.Outcome callReward(RewardCall reward, Submission submission) {
     Optional<Route> route = rewardRoute(reward);
     if (route.isEmpty()) {
       return new Forwarder.Outcome(Optional.empty(), ErrorKind.NOT_FOUND, false, 0, 0, "", 0);
@@ -336,7 +340,8 @@
             Urgency.BACKGROUND,
             clock.now() + REWARD_TIMEOUT_MS,
             new Cancellation(),
-            Optional.empty()));
+            Optional.empty(),
+            regions.zones(route.get(), submission.getOrganisation())));
   }
 
   private Optional<Route> rewardRoute(RewardCall reward) {
--- a/server/src/main/java/org/marigoldmill/server/batch/Rollouts.java
+++ b/server/src/main/java/org/marigoldmill/server/batch/Rollouts.java
@@ -11,6 +11,7 @@
 import org.marigoldmill.server.Clock;
 import org.marigoldmill.server.Metrics;
 import org.marigoldmill.server.deployment.DeploymentState;
+import org.marigoldmill.server.deployment.RegionRules;
 import org.marigoldmill.server.duty.EngineOrderLog;
 import org.marigoldmill.server.duty.FleetLog;
 import org.marigoldmill.server.gateway.Forwarder;
@@ -31,6 +32,7 @@
    */
   public Rollouts(
       DeploymentState deployment,
+      RegionRules regions,
       SubmissionPartitions partitions,
       RolloutMembership membership,
       ModelEngineAllocator allocator,
@@ -51,6 +53,7 @@
     ItemRunner runner =
         new ItemRunner(
             deployment,
+            regions,
             loads,
             lengths,
             slotTimes,
@@ -65,6 +68,7 @@
             partitions,
             membership,
             allocator,
+            regions,
             loads,
             lengths,
             limits,
--- a/server/src/test/java/org/marigoldmill/server/relay/InstanceRecordsTest.java
+++ b/server/src/test/java/org/marigoldmill/server/relay/InstanceRecordsTest.java
@@ -10,6 +10,7 @@
 import java.util.stream.Stream;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
+import org.marigoldmill.core.placement.AllowedZones;
 import org.marigoldmill.core.relay.RelayPeers;
 import org.marigoldmill.core.weights.EngineVersions;
 import org.marigoldmill.http.HttpCall.Header;
@@ -56,9 +57,9 @@
       MemoryStore ofLastBuild = LastBuild.assertReadAlike("instances.txt", written);
       directory("reader", ofLastBuild, peers).follower().catchUp();
       // THEN
-      assertThat(peers.acquire(Set.of(), 0))
+      assertThat(peers.acquire(Set.of(), AllowedZones.ALL, 0))
           .contains(new RelayPeers.Peer("stays", "zone", "127.0.0.1:7", true));
-      assertThat(peers.acquire(Set.of("stays"), 0)).isEmpty();
+      assertThat(peers.acquire(Set.of("stays"), AllowedZones.ALL, 0)).isEmpty();
     }
   }
 
