--- a/core/src/main/java/org/marigoldmill/core/supply/EngineDemandPlanner.java
+++ b/core/src/main/java/org/marigoldmill/core/supply/EngineDemandPlanner.java
@@ -157,6 +157,16 @@
    * @param neededEngines engines that the open work needs to be in time; 0 if unknown
    */
   public void plan(Autoscale scale, double neededEngines, long nowMs) {
+    plan(scale, neededEngines, Set.of(), nowMs);
+  }
+
+  /**
+   * Changes the wanted numbers by the present need; only to be called with a current view.
+   *
+   * @param neededEngines engines that the open work needs to be in time; 0 if unknown
+   * @param closedZones zones in which engines would get no work
+   */
+  public void plan(Autoscale scale, double neededEngines, Set<String> closedZones, long nowMs) {
     long idleMs = IDLE_STARTUPS * scale.startupMs();
     recordNeed(neededEngines, idleMs, nowMs);
     if (nowMs - observedSinceMs < SETTLE_MS) {
@@ -177,7 +187,7 @@
     pools.values().forEach(p -> repeatOrDrop(p, scale.startupMs(), nowMs));
     missing = missing(neededEngines, scale.startupMs(), nowMs);
     for (int i = 0; i < missing; i++) {
-      Optional<EnginePool> pool = cheapestWithRoom(scale, idleMs, nowMs);
+      Optional<EnginePool> pool = cheapestWithRoom(scale, closedZones, idleMs, nowMs);
       if (pool.isEmpty()) {
         return;
       }
@@ -311,13 +321,15 @@
     }
   }
 
-  private Optional<EnginePool> cheapestWithRoom(Autoscale scale, long idleMs, long nowMs) {
+  private Optional<EnginePool> cheapestWithRoom(
+      Autoscale scale, Set<String> closedZones, long idleMs, long nowMs) {
     boolean reclaimsGoOn = nowMs - lastReclaimMs < idleMs;
     Comparator<EnginePool> safestFirst = Comparator.comparing(p -> p.reclaimable() && reclaimsGoOn);
     Comparator<EnginePool> fewestInZoneFirst = Comparator.comparingInt(p -> wantedIn(p.zone()));
     Comparator<EnginePool> cheapestFirst = Comparator.comparingDouble(p -> price(scale, p));
     return pools.values().stream().anyMatch(p -> p.base > 0)
         ? zones().stream()
+            .filter(z -> !closedZones.contains(z))
             .flatMap(z -> Stream.of(new EnginePool(z, false), new EnginePool(z, true)))
             .filter(p -> !p.reclaimable() || scale.offersReclaimable())
             .filter(p -> wantedIn(p.zone()) < scale.max())
@@ -360,7 +372,9 @@
     if (state.answered) {
       state.refusedDesired = state.wanted();
     }
-    state.desired = state.wanted() + change;
+    // A number below what is there would have engines taken away that nobody ordered.
+    int from = change > 0 ? Math.max(state.wanted(), state.present()) : state.wanted();
+    state.desired = from + change;
     state.most = Math.max(state.most, state.desired);
     state.answered = false;
     state.repeated = false;
--- a/core/src/test/java/org/marigoldmill/core/supply/EngineDemandPlannerTest.java
+++ b/core/src/test/java/org/marigoldmill/core/supply/EngineDemandPlannerTest.java
@@ -5,6 +5,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.function.DoubleSupplier;
 import java.util.function.Function;
 import java.util.stream.IntStream;
@@ -175,6 +176,31 @@
     }
   }
 
+  @Nested
+  class ClosedZone {
+    @Test
+    void should_order_nothing_in_a_zone_whose_engines_get_no_work() {
+      // GIVEN
+      EngineDemandPlanner planner = new EngineDemandPlanner();
+      List<Engine> engines =
+          List.of(engine("a1", "a"), engine("a2", "a"), engine("b1", "b"), engine("b2", "b"));
+      planner.observe(engines, STARTUP_MS, 0);
+      planner.plan(SCALE, 0, Set.of("a"), 0);
+      // WHEN
+      for (long at = 0; at <= 20_000; at += ROUND_MS) {
+        planner.observe(engines, STARTUP_MS, at);
+        planner.plan(SCALE, 6, Set.of("a"), at);
+      }
+      // THEN
+      assertThat(planner.due(20_000)).isNotEmpty().allMatch(o -> o.pool().zone().equals("b"));
+    }
+
+    private static Engine engine(String id, String zone) {
+      return new Engine(
+          id, 1, "s", "v", "10.0.0." + id + ":80", zone, 6, false, false, Map.of(), 0);
+    }
+  }
+
   @Nested
   class Refusal {
     @Test
--- a/server/src/main/java/org/marigoldmill/server/duty/EngineOrderDispatcher.java
+++ b/server/src/main/java/org/marigoldmill/server/duty/EngineOrderDispatcher.java
@@ -95,7 +95,7 @@
       return;
     }
     double needed = log.neededEngines(service);
-    planner.plan(scale, needed, now);
+    planner.plan(scale, needed, deployment.evacuatedZones(), now);
     metrics.recordEngines(service, needed, planner.servingEngines());
     if (publish(service, planner.state())) {
       planner.due(now).forEach(o -> send(service, scale, planner, needed, o));
--- a/server/src/main/java/org/marigoldmill/server/gateway/UpstreamSender.java
+++ b/server/src/main/java/org/marigoldmill/server/gateway/UpstreamSender.java
@@ -40,7 +40,6 @@
    */
   public HttpStream open(HttpCall call, UpstreamProtocol.Attempt attempt) {
     answers.recordSent(attempt.engineId(), attempt.incarnation());
-    long sentAtMs = clock.now();
     HttpStream stream = client.open(call);
     List<HttpCall.Header> headers = stream.headers();
     if (!protocol.matchesRequest(attempt.requestId(), headers)) {
@@ -56,9 +55,6 @@
           null);
     }
     answers.recordAnswer(attempt.engineId(), attempt.incarnation(), headers);
-    if (stream.status() == 200 && !protocol.notRun(stream.status(), headers)) {
-      answers.recordResponseTime(attempt.engineId(), attempt.incarnation(), clock.now() - sentAtMs);
-    }
     return stream;
   }
 
@@ -68,8 +64,14 @@
    * @throws HttpCallException if no complete response arrives
    */
   public HttpResponse exchange(HttpCall call, UpstreamProtocol.Attempt attempt) {
+    long sentAtMs = clock.now();
     try (HttpStream stream = open(call, attempt)) {
-      return HttpClient.readAll(stream, attempt.engineId());
+      HttpResponse response = HttpClient.readAll(stream, attempt.engineId());
+      if (response.status() == 200) {
+        answers.recordResponseTime(
+            attempt.engineId(), attempt.incarnation(), clock.now() - sentAtMs);
+      }
+      return response;
     }
   }
 }
