--- a/core/src/main/java/org/marigoldmill/core/supply/EngineDemandPlanner.java
+++ b/core/src/main/java/org/marigoldmill/core/supply/EngineDemandPlanner.java
@@ -7,6 +7,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.Optional;
 import java.util.Set;
 import java.util.TreeMap;
@@ -313,6 +314,7 @@
 
   private Optional<EnginePool> cheapestWithRoom(Autoscale scale, long idleMs, long nowMs) {
     boolean reclaimsGoOn = nowMs - lastReclaimMs < idleMs;
+    Comparator<EnginePool> intactZonesFirst = Comparator.comparing(p -> hasLostEngines(p.zone()));
     Comparator<EnginePool> safestFirst = Comparator.comparing(p -> p.reclaimable() && reclaimsGoOn);
     Comparator<EnginePool> fewestInZoneFirst = Comparator.comparingInt(p -> wantedIn(p.zone()));
     Comparator<EnginePool> cheapestFirst = Comparator.comparingDouble(p -> price(scale, p));
@@ -323,7 +325,8 @@
             .filter(p -> wantedIn(p.zone()) < scale.max())
             .filter(p -> mayOrder(pools.computeIfAbsent(p, k -> new PoolState()), p, nowMs))
             .min(
-                safestFirst
+                intactZonesFirst
+                    .thenComparing(safestFirst)
                     .thenComparing(fewestInZoneFirst)
                     .thenComparing(cheapestFirst)
                     .thenComparing(EnginePool::zone))
@@ -334,7 +337,8 @@
     return scale.price(pool.zone(), pool.reclaimable());
   }
 
-  private List<String> zones() {
+  /** Returns the zones that had engines of the service before any order. */
+  public List<String> zones() {
     return pools.entrySet().stream()
         .filter(p -> p.getValue().base > 0)
         .map(p -> p.getKey().zone())
@@ -349,18 +353,33 @@
     return !reclaimed && !unanswered && state.notBeforeMs <= nowMs;
   }
 
-  private int wantedIn(String zone) {
+  /** Returns the number of engines wanted in a zone, those that are missing included. */
+  public int wantedIn(String zone) {
+    return in(zone).mapToInt(PoolState::wanted).sum();
+  }
+
+  /** Returns the number of engines that serve in a zone. */
+  public int servingIn(String zone) {
+    return in(zone).mapToInt(s -> s.serving.size()).sum();
+  }
+
+  private Stream<PoolState> in(String zone) {
     return Stream.of(new EnginePool(zone, false), new EnginePool(zone, true))
         .map(pools::get)
-        .mapToInt(s -> s == null ? 0 : s.wanted())
-        .sum();
+        .filter(Objects::nonNull);
+  }
+
+  private boolean hasLostEngines(String zone) {
+    return in(zone).anyMatch(s -> s.serving.size() < s.base);
   }
 
+  /** Never orders fewer than serve, unless engines are given back. */
   private void order(PoolState state, int change, long nowMs) {
     if (state.answered) {
       state.refusedDesired = state.wanted();
     }
-    state.desired = state.wanted() + change;
+    int before = change > 0 ? Math.max(state.wanted(), state.serving.size()) : state.wanted();
+    state.desired = before + change;
     state.most = Math.max(state.most, state.desired);
     state.answered = false;
     state.repeated = false;
@@ -370,7 +389,8 @@
 
   /** Gives back the most expensive engines that were not needed for a while. */
   private void giveBack(Autoscale scale, long idleMs, long nowMs) {
-    if (nowMs - lastChangeMs < idleMs || nowMs - lastLossMs < idleMs) {
+    if (nowMs - lastChangeMs < idleMs
+        || nowMs - lastLossMs < EXPECTED_STARTUPS * scale.startupMs()) {
       return;
     }
     int spare = servingEngines() - (int) Math.ceil(needs.getFirst().engines());
@@ -382,7 +402,8 @@
       PoolState state = pools.get(pool);
       int aboveMin = wantedIn(pool.zone()) - scale.min();
       int given = Math.min(spare, Math.min(state.desired - state.base, aboveMin));
-      if (given > 0) {
+      boolean othersAdded = state.serving.size() > state.wanted();
+      if (given > 0 && !othersAdded) {
         order(state, -given, nowMs);
         spare -= given;
       }
--- a/core/src/test/java/org/marigoldmill/core/supply/EngineDemandPlannerTest.java
+++ b/core/src/test/java/org/marigoldmill/core/supply/EngineDemandPlannerTest.java
@@ -344,16 +344,43 @@
     }
 
     @Test
-    void should_count_engines_that_crashed_when_ordering_more() {
+    void should_order_in_other_zones_when_a_zone_loses_its_engines_without_notice() {
       // GIVEN
       startDeployment();
       platform.engines.removeIf(r -> r.engine().zone().equals("c"));
       // WHEN
-      run(30_000, () -> 12);
+      run(2 * STARTUP_MS + 2 * ROUND_MS, () -> needed);
+      // THEN
+      assertThat(platform.serving()).isEqualTo(10);
+      assertThat(platform.received).noneMatch(o -> o.pool().zone().equals("c"));
+    }
+
+    @Test
+    void should_take_away_no_engine_that_others_added() {
+      // GIVEN
+      startDeployment();
+      run(12_000, () -> 12);
+      EnginePool ordered = platform.received.get(0).pool();
+      platform.start(ordered, 2, now);
+      // WHEN
+      run(3 * IDLE_MS, () -> 1);
+      // THEN
+      assertThat(platform.serving()).isEqualTo(14);
+    }
+
+    @Test
+    void should_count_engines_that_crashed_when_ordering_more() {
+      // GIVEN
+      startDeployment();
+      platform.answers = o -> o.pool().reclaimable() ? Answer.NONE_AVAILABLE : Answer.ACCEPTED;
+      platform.engines.removeIf(r -> !r.engine().reclaimable());
+      // WHEN
+      run(IDLE_MS / 2, () -> 12);
       // THEN
       assertThat(platform.received)
-          .allMatch(o -> o.pool().reclaimable() || o.desired() > 3)
-          .isNotEmpty();
+          .filteredOn(o -> !o.pool().reclaimable())
+          .isNotEmpty()
+          .allMatch(o -> o.desired() > 3);
     }
   }
 
--- a/server/src/main/java/org/marigoldmill/server/Metrics.java
+++ b/server/src/main/java/org/marigoldmill/server/Metrics.java
@@ -76,8 +76,8 @@
   private final Gauge engines =
       Gauge.builder()
           .name(PREFIX + "engines")
-          .help("Engines that a service needs, and those that serve, seen by the duty holder")
-          .labelNames("service", "state")
+          .help("Engines of a service that are wanted and that serve, seen by the duty holder")
+          .labelNames("service", "zone", "state")
           .withoutExemplars()
           .register(registry);
 
@@ -86,10 +86,10 @@
     engineOrdersTotal.labelValues(service, zone, answer).inc();
   }
 
-  /** Records how many engines a service needs and how many of it serve. */
-  public void recordEngines(String service, double needed, int serving) {
-    engines.labelValues(service, "needed").set(needed);
-    engines.labelValues(service, "serving").set(serving);
+  /** Records how many engines of a service are wanted in a zone and how many serve. */
+  public void recordEngines(String service, String zone, int wanted, int serving) {
+    engines.labelValues(service, zone, "wanted").set(wanted);
+    engines.labelValues(service, zone, "serving").set(serving);
   }
 
   /** Counts a call to the store. */
--- a/server/src/main/java/org/marigoldmill/server/batch/EngineNeedPublisher.java
+++ b/server/src/main/java/org/marigoldmill/server/batch/EngineNeedPublisher.java
@@ -59,12 +59,15 @@
 
   /** Publishes the needs that are due; meant to be called periodically. */
   void publishDue() {
-    if (!scheduler.active()) {
+    List<DeploymentConfig.Service> services =
+        deployment.config().map(DeploymentConfig::services).orElse(List.of()).stream()
+            .filter(s -> s.autoscale().isPresent())
+            .toList();
+    if (!scheduler.active() || services.isEmpty()) {
       return;
     }
     Map<String, List<Engine>> engines = allocator.enginesByModel();
-    for (DeploymentConfig.Service service :
-        deployment.config().map(DeploymentConfig::services).orElse(List.of())) {
+    for (DeploymentConfig.Service service : services) {
       service
           .autoscale()
           .ifPresent(
--- a/server/src/main/java/org/marigoldmill/server/duty/EngineOrderDispatcher.java
+++ b/server/src/main/java/org/marigoldmill/server/duty/EngineOrderDispatcher.java
@@ -96,7 +96,9 @@
     }
     double needed = log.neededEngines(service);
     planner.plan(scale, needed, now);
-    metrics.recordEngines(service, needed, planner.servingEngines());
+    for (String zone : planner.zones()) {
+      metrics.recordEngines(service, zone, planner.wantedIn(zone), planner.servingIn(zone));
+    }
     if (publish(service, planner.state())) {
       planner.due(now).forEach(o -> send(service, scale, planner, needed, o));
     }
