--- a/core/src/main/java/org/marigoldmill/core/supply/EngineDemandPlanner.java
+++ b/core/src/main/java/org/marigoldmill/core/supply/EngineDemandPlanner.java
@@ -68,6 +68,7 @@
     private long orderedAtMs;
     private long notBeforeMs = Long.MIN_VALUE;
     private int refusals;
+    private int unanswered;
 
     private boolean everOrdered() {
       return most > base;
@@ -203,16 +204,22 @@
     switch (answer) {
       case ACCEPTED -> {
         state.answered = true;
+        state.unanswered = 0;
         state.refusals = 0;
       }
       case NONE_AVAILABLE -> {
         state.answered = true;
+        state.unanswered = 0;
         state.desired = state.refusedDesired;
         state.notBeforeMs =
             nowMs + startupMs * Math.min(1L << Math.min(state.refusals, 8), MAX_REFUSAL_STARTUPS);
         state.refusals++;
       }
-      default -> state.notBeforeMs = nowMs + RETRY_MS;
+      default -> {
+        state.notBeforeMs =
+            nowMs + Math.max(RETRY_MS, Math.min(startupMs, RETRY_MS << state.unanswered));
+        state.unanswered = Math.min(state.unanswered + 1, 8);
+      }
     }
   }
 
--- a/core/src/test/java/org/marigoldmill/core/supply/EngineDemandPlannerTest.java
+++ b/core/src/test/java/org/marigoldmill/core/supply/EngineDemandPlannerTest.java
@@ -1,5 +1,6 @@
 package org.marigoldmill.core.supply;
 
+import static java.util.stream.Collectors.groupingBy;
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.util.ArrayList;
@@ -233,6 +234,19 @@
       assertThat(platform.serving()).isEqualTo(11);
     }
 
+    @Test
+    void should_repeat_once_a_startup_time_at_most_when_never_answered() {
+      // GIVEN
+      platform.answers = o -> Answer.UNKNOWN;
+      platform.lateByMs = 600_000;
+      startDeployment();
+      // WHEN
+      run(15 * STARTUP_MS, () -> 12);
+      // THEN
+      assertThat(platform.received.stream().collect(groupingBy(EngineOrder::pool)).values())
+          .allMatch(sent -> sent.size() <= 15 + 3);
+    }
+
     @Test
     void should_order_again_when_accepted_engines_never_come() {
       // GIVEN
