--- a/core/src/main/java/org/marigoldmill/core/supply/EngineDemandPlanner.java
+++ b/core/src/main/java/org/marigoldmill/core/supply/EngineDemandPlanner.java
@@ -7,6 +7,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.Optional;
 import java.util.Set;
 import java.util.TreeMap;
@@ -67,6 +68,7 @@
     private long orderedAtMs;
     private long notBeforeMs = Long.MIN_VALUE;
     private int refusals;
+    private int unanswered;
 
     private boolean everOrdered() {
       return most > base;
@@ -212,16 +214,22 @@
     switch (answer) {
       case ACCEPTED -> {
         state.answered = true;
+        state.unanswered = 0;
         state.refusals = 0;
       }
       case NONE_AVAILABLE -> {
         state.answered = true;
+        state.unanswered = 0;
         state.desired = state.refusedDesired;
         state.notBeforeMs =
             nowMs + startupMs * Math.min(1L << Math.min(state.refusals, 8), MAX_REFUSAL_STARTUPS);
         state.refusals++;
       }
-      default -> state.notBeforeMs = nowMs + RETRY_MS;
+      default -> {
+        state.notBeforeMs =
+            nowMs + Math.max(RETRY_MS, Math.min(startupMs, RETRY_MS << state.unanswered));
+        state.unanswered = Math.min(state.unanswered + 1, 8);
+      }
     }
   }
 
@@ -324,6 +332,7 @@
   private Optional<EnginePool> cheapestWithRoom(
       Autoscale scale, Set<String> closedZones, long idleMs, long nowMs) {
     boolean reclaimsGoOn = nowMs - lastReclaimMs < idleMs;
+    Comparator<EnginePool> intactZonesFirst = Comparator.comparing(p -> hasLostEngines(p.zone()));
     Comparator<EnginePool> safestFirst = Comparator.comparing(p -> p.reclaimable() && reclaimsGoOn);
     Comparator<EnginePool> fewestInZoneFirst = Comparator.comparingInt(p -> wantedIn(p.zone()));
     Comparator<EnginePool> cheapestFirst = Comparator.comparingDouble(p -> price(scale, p));
@@ -335,7 +344,8 @@
             .filter(p -> wantedIn(p.zone()) < scale.max())
             .filter(p -> mayOrder(pools.computeIfAbsent(p, k -> new PoolState()), p, nowMs))
             .min(
-                safestFirst
+                intactZonesFirst
+                    .thenComparing(safestFirst)
                     .thenComparing(fewestInZoneFirst)
                     .thenComparing(cheapestFirst)
                     .thenComparing(EnginePool::zone))
@@ -346,7 +356,8 @@
     return scale.price(pool.zone(), pool.reclaimable());
   }
 
-  private List<String> zones() {
+  /** Returns the zones that had engines of the service before any order. */
+  public List<String> zones() {
     return pools.entrySet().stream()
         .filter(p -> p.getValue().base > 0)
         .map(p -> p.getKey().zone())
@@ -361,20 +372,34 @@
     return !reclaimed && !unanswered && state.notBeforeMs <= nowMs;
   }
 
-  private int wantedIn(String zone) {
+  /** Returns the number of engines wanted in a zone, those that are missing included. */
+  public int wantedIn(String zone) {
+    return in(zone).mapToInt(PoolState::wanted).sum();
+  }
+
+  /** Returns the number of engines that serve in a zone. */
+  public int servingIn(String zone) {
+    return in(zone).mapToInt(s -> s.serving.size()).sum();
+  }
+
+  private Stream<PoolState> in(String zone) {
     return Stream.of(new EnginePool(zone, false), new EnginePool(zone, true))
         .map(pools::get)
-        .mapToInt(s -> s == null ? 0 : s.wanted())
-        .sum();
+        .filter(Objects::nonNull);
+  }
+
+  private boolean hasLostEngines(String zone) {
+    return in(zone).anyMatch(s -> s.serving.size() < s.base);
   }
 
+  /** Never orders fewer than serve, unless engines are given back. */
   private void order(PoolState state, int change, long nowMs) {
     if (state.answered) {
       state.refusedDesired = state.wanted();
     }
     // A number below what is there would have engines taken away that nobody ordered.
-    int from = change > 0 ? Math.max(state.wanted(), state.present()) : state.wanted();
-    state.desired = from + change;
+    int before = change > 0 ? Math.max(state.wanted(), state.serving.size()) : state.wanted();
+    state.desired = before + change;
     state.most = Math.max(state.most, state.desired);
     state.answered = false;
     state.repeated = false;
@@ -384,7 +409,8 @@
 
   /** Gives back the most expensive engines that were not needed for a while. */
   private void giveBack(Autoscale scale, long idleMs, long nowMs) {
-    if (nowMs - lastChangeMs < idleMs || nowMs - lastLossMs < idleMs) {
+    if (nowMs - lastChangeMs < idleMs
+        || nowMs - lastLossMs < EXPECTED_STARTUPS * scale.startupMs()) {
       return;
     }
     int spare = servingEngines() - (int) Math.ceil(needs.getFirst().engines());
@@ -396,7 +422,8 @@
       PoolState state = pools.get(pool);
       int aboveMin = wantedIn(pool.zone()) - scale.min();
       int given = Math.min(spare, Math.min(state.desired - state.base, aboveMin));
-      if (given > 0) {
+      boolean othersAdded = state.serving.size() > state.wanted();
+      if (given > 0 && !othersAdded) {
         order(state, -given, nowMs);
         spare -= given;
       }
