--- a/server/src/test/java/org/marigoldmill/server/deployment/TextCodec.java
+++ b/server/src/test/java/org/marigoldmill/server/deployment/TextCodec.java
@@ -9,7 +9,7 @@
 import org.marigoldmill.core.route.DeploymentConfig;
 
 /** Decodes "VERSION" under "config" and "version/m", "INCARNATION STATE" under an engine's id. */
-final class TextCodec implements DeploymentCodec {
+public final class TextCodec implements DeploymentCodec {
   @Override
   public Optional<DeploymentConfig> decodeConfig(String key, byte[] value) {
     return key.equals("config")
