--- a/core/src/main/java/org/marigoldmill/core/limit/ColdEngineTurns.java
+++ b/core/src/main/java/org/marigoldmill/core/limit/ColdEngineTurns.java
@@ -97,6 +97,11 @@
       return background + Math.max(0, (int) calls);
     }
 
+    private boolean countsNothing(long nowMs) {
+      counted.removeIf(c -> nowMs - c.readAtMs() >= HISTORY_MS);
+      return counted.isEmpty();
+    }
+
     private int countedTurns(long nowMs) {
       counted.removeIf(c -> nowMs - c.readAtMs() >= HISTORY_MS);
       return counted.stream()
@@ -167,7 +172,7 @@
   boolean wantsTurns(long nowMs) {
     states
         .entrySet()
-        .removeIf(e -> !isCold(e.getKey(), nowMs) && e.getValue().countedTurns(nowMs) == 0);
+        .removeIf(e -> !isCold(e.getKey(), nowMs) && e.getValue().countsNothing(nowMs));
     return states.entrySet().stream().anyMatch(e -> wanted(e.getKey(), e.getValue(), nowMs) > 0);
   }
 
