Reward calls wait for free slots, which callers need sooner

What callers saw: a burst of reward calls fills the slots and queues of a small service; callers with less time wait behind it or are refused.

BackgroundWindow bounds the background requests that an instance has in flight at a service: from half of the usually free slots up by one with each answer of an engine with a free slot, halved on a queue or a refusal, never below 2; what waits is sent anyway while there is time for its work. BackgroundGate makes the reward calls of Forwarder wait, in order.

--- a/core/src/main/java/org/marigoldmill/core/balance/LoadEstimates.java
+++ b/core/src/main/java/org/marigoldmill/core/balance/LoadEstimates.java
@@ -177,14 +177,10 @@
         own + others, deviation, slots, usualWorkMs * pace, ageMs, isFull(state, nowMs));
   }
 
-  /** Returns the part of a service's slots that others' requests usually take, from 0 on. */
-  public double usualUtilisation(String service) {
-    return service(service).utilisation.or(0);
-  }
-
-  /** Returns the number of slots that engines of a service usually have. */
-  public int usualSlots(String service) {
-    return service(service).slots;
+  /** Returns the slots that others' requests usually leave free at the engines of a service. */
+  public double usualFreeSlots(String service, int engineCount) {
+    Service usual = service(service);
+    return Math.max(0, 1 - usual.utilisation.or(0)) * usual.slots * engineCount;
   }
 
   /** Returns the time that a request of a service usually takes, in milliseconds. */
--- a/core/src/main/java/org/marigoldmill/core/routing/UpstreamTable.java
+++ b/core/src/main/java/org/marigoldmill/core/routing/UpstreamTable.java
@@ -214,6 +214,17 @@
         });
   }
 
+  /** Returns the slots that are usually free in a pool; 0 if upstreams are not estimated. */
+  public synchronized double usualFreeSlots(String pool) {
+    int upstreamCount = usable(pool).size();
+    return estimating.map(e -> e.estimates().usualFreeSlots(pool, upstreamCount)).orElse(0.0);
+  }
+
+  /** Returns the time that a request of a pool usually takes, in milliseconds; 0 if unknown. */
+  public synchronized double usualWorkMs(String pool) {
+    return estimating.map(e -> e.estimates().usualWorkMs(pool)).orElse(0.0);
+  }
+
   /** Returns the number of requests outstanding from this process at an upstream. */
   public synchronized int outstanding(String name) {
     Load load = loads.get(name);
--- a/core/src/test/java/org/marigoldmill/core/balance/EvenLoadTest.java
+++ b/core/src/test/java/org/marigoldmill/core/balance/EvenLoadTest.java
@@ -39,7 +39,8 @@
         0,
         0.1,
         0,
-        20_000);
+        20_000,
+        false);
   }
 
   private static Scenario with(
@@ -57,7 +58,8 @@
         s.rewardWorkMs(),
         loss,
         delayMs,
-        lengthMs);
+        lengthMs,
+        s.windows());
   }
 
   private static Scenario chosenByOldRule(Scenario s) {
@@ -71,17 +73,14 @@
       long p99Ms,
       double waitedBesideFree,
       double unexplained,
-      double busiestToMean) {
+      double busiestToMean,
+      long rewardP99Ms) {
 
     private static Outcome of(String name, Scenario scenario) {
       LoadSimulation simulation = new LoadSimulation(scenario, 20261204);
       List<Done> done = simulation.run();
-      long[] takenMs =
-          done.stream()
-              .filter(d -> d.urgency() == Urgency.CALL)
-              .mapToLong(d -> d.answered() ? d.takenMs() : Long.MAX_VALUE)
-              .sorted()
-              .toArray();
+      long[] takenMs = sortedMs(done, Urgency.CALL);
+      long[] rewardMs = sortedMs(done, Urgency.BACKGROUND);
       long unexplained = done.stream().filter(d -> d.queuedBesideFree() && !d.explained()).count();
       Outcome outcome =
           new Outcome(
@@ -90,11 +89,20 @@
               takenMs[takenMs.length * 99 / 100],
               (double) done.stream().filter(Done::queuedBesideFree).count() / done.size(),
               (double) unexplained / done.size(),
-              simulation.busiestToMean());
+              simulation.busiestToMean(),
+              rewardMs.length == 0 ? 0 : rewardMs[rewardMs.length * 99 / 100]);
       System.out.println(name + ", " + scenario.instances() + " instances: " + outcome);
       return outcome;
     }
 
+    private static long[] sortedMs(List<Done> done, Urgency urgency) {
+      return done.stream()
+          .filter(d -> d.urgency() == urgency)
+          .mapToLong(d -> d.answered() ? d.takenMs() : Long.MAX_VALUE)
+          .sorted()
+          .toArray();
+    }
+
     private boolean inTime() {
       return p95Ms <= AIM_MS && p99Ms <= GIVE_UP_MS;
     }
@@ -185,6 +193,73 @@
     }
   }
 
+  @Nested
+  class Window {
+    private static Stream<Integer> instances() {
+      return EvenLoadTest.instances();
+    }
+
+    /** Returns few callers beside bursts of 64 reward calls, which take 60 % of the room. */
+    private static Scenario bursts(int instances, double oldShare, boolean windows) {
+      return new Scenario(
+          instances,
+          THREE_ZONES,
+          Collections.nCopies(3, 1.0),
+          oldShare,
+          8.4,
+          THREE_ZONES,
+          0.6 * 3 * LoadSimulation.SLOTS / 43 * 1e3 / 64,
+          64,
+          CALL_WORK_MS,
+          43,
+          0.1,
+          0,
+          120_000,
+          windows);
+    }
+
+    @ParameterizedTest
+    @MethodSource("instances")
+    void should_answer_callers_in_time_when_many_reward_calls_become_due(int instances) {
+      assertThat(Outcome.of("bursts", bursts(instances, 0, true)))
+          .matches(Outcome::inTime, "callers are answered in time")
+          .matches(o -> o.rewardP99Ms() <= 1_500, "reward calls are answered in their time");
+      assertThat(Outcome.of("bursts, no window", bursts(instances, 0, false)))
+          .matches(o -> !o.inTime(), "without the window the bound is missed");
+      assertThat(Outcome.of("bursts, rule before", bursts(instances, 1, false)))
+          .matches(o -> !o.inTime(), "the rule before misses the bound");
+    }
+
+    @Test
+    void should_shrink_once_and_keep_the_floor_when_engines_have_queues() {
+      // GIVEN
+      BackgroundWindow window = new BackgroundWindow();
+      window.tryEnter(24, 0);
+      // WHEN
+      IntStream.range(0, 5).forEach(i -> window.recordRefusal(50, 10));
+      // THEN
+      assertThat(window.size()).isEqualTo(6);
+      IntStream.range(0, 9).forEach(i -> window.recordRefusal(50, 100 + i * 60L));
+      assertThat(window.size()).isEqualTo(2);
+    }
+
+    @Test
+    void should_take_all_slots_that_nobody_else_takes() {
+      // GIVEN
+      BackgroundWindow window = new BackgroundWindow();
+      int inFlight = 0;
+      // WHEN
+      for (int i = 0; i < 20; i++) {
+        while (window.tryEnter(8, i)) {
+          inFlight++;
+        }
+        window.recordReport(new LoadReport(2, 0, 6, 1), 50, i);
+      }
+      // THEN
+      assertThat(inFlight).isEqualTo(4 + 19);
+    }
+  }
+
   @Nested
   class Estimate {
     private static final String SERVICE = "records";
--- a/core/src/test/java/org/marigoldmill/core/balance/LoadSimulation.java
+++ b/core/src/test/java/org/marigoldmill/core/balance/LoadSimulation.java
@@ -24,6 +24,7 @@
   private static final double OTHER_ZONE_LINK_MS = 2;
   private static final double RETRY_MS = 15;
   private static final int TRIES = 4;
+  private static final long REWARD_TIME_MS = 1_500;
 
   /**
    * What is simulated.
@@ -36,6 +37,7 @@
    * @param burstsPerSecond bursts of reward calls of all instances
    * @param reportLoss part of the reports that are lost
    * @param maxReportDelayMs longest delay of a report behind its answer
+   * @param windows whether reward calls wait for free slots
    */
   record Scenario(
       int instances,
@@ -50,7 +52,8 @@
       double rewardWorkMs,
       double reportLoss,
       long maxReportDelayMs,
-      long lengthMs) {}
+      long lengthMs,
+      boolean windows) {}
 
   /**
    * One request that has ended.
@@ -86,6 +89,8 @@
   private static final class Instance {
     private final String zone;
     private final UpstreamTable table;
+    private final BackgroundWindow window = new BackgroundWindow();
+    private final Deque<Request> waiting = new ArrayDeque<>();
     private Decision last;
 
     private Instance(String zone, boolean old, Random random) {
@@ -205,11 +210,36 @@
           // Few instances own the models whose items end at the same moment.
           Instance from = instances.get(random.nextInt(Math.min(6, instances.size())));
           IntStream.range(0, scenario.burstSize())
-              .forEach(i -> send(new Request(from, Urgency.BACKGROUND, nowMs)));
+              .forEach(i -> enter(new Request(from, Urgency.BACKGROUND, nowMs)));
           nextBurst();
         });
   }
 
+  private void enter(Request request) {
+    if (!scenario.windows()) {
+      send(request);
+      return;
+    }
+    Instance from = request.from;
+    from.waiting.add(request);
+    after(
+        (double) from.window.maxWaitMs(REWARD_TIME_MS, from.table.usualWorkMs(SERVICE)),
+        () -> {
+          if (from.waiting.remove(request)) {
+            from.window.enter(nowMs);
+            send(request);
+          }
+        });
+    sendWaiting(from);
+  }
+
+  private void sendWaiting(Instance from) {
+    while (!from.waiting.isEmpty()
+        && from.window.tryEnter(from.table.usualFreeSlots(SERVICE), nowMs)) {
+      send(from.waiting.poll());
+    }
+  }
+
   private void send(Request request) {
     Instance from = request.from;
     Optional<PlatformInstance> chosen =
@@ -266,7 +296,15 @@
 
   private void refused(Request request) {
     request.from.table.recordRefusal(request.engine.entry, nowMs);
-    if (request.tries < TRIES) {
+    if (request.urgency == Urgency.BACKGROUND) {
+      request.from.window.recordRefusal(request.from.table.usualWorkMs(SERVICE), nowMs);
+    }
+    // The owner of an item repeats a reward call that was refused.
+    boolean again =
+        request.urgency == Urgency.CALL
+            ? request.tries < TRIES
+            : nowMs - request.createdAtMs < REWARD_TIME_MS;
+    if (again) {
       send(request);
     } else {
       end(request, false);
@@ -295,6 +333,9 @@
   private void answered(Request request, LoadReport report) {
     UpstreamTable table = request.from.table;
     table.recordSuccess(request.engine.entry);
+    if (request.urgency == Urgency.BACKGROUND) {
+      request.from.window.recordReport(report, table.usualWorkMs(SERVICE), nowMs);
+    }
     if (random.nextDouble() >= scenario.reportLoss()) {
       after(
           random.nextDouble() * scenario.maxReportDelayMs(),
@@ -308,6 +349,10 @@
   }
 
   private void end(Request request, boolean answered) {
+    if (request.urgency == Urgency.BACKGROUND) {
+      request.from.window.leave(nowMs);
+      sendWaiting(request.from);
+    }
     done.add(
         new Done(
             request.urgency,
--- a/server/src/main/java/org/marigoldmill/server/DeploymentInstance.java
+++ b/server/src/main/java/org/marigoldmill/server/DeploymentInstance.java
@@ -40,6 +40,7 @@
 import org.marigoldmill.server.duty.UsageReporter;
 import org.marigoldmill.server.duty.WeightOrderDispatcher;
 import org.marigoldmill.server.gateway.AnswerObserver;
+import org.marigoldmill.server.gateway.BackgroundGate;
 import org.marigoldmill.server.gateway.ChoiceRecorder;
 import org.marigoldmill.server.gateway.CrashDetector;
 import org.marigoldmill.server.gateway.Forwarder;
@@ -200,7 +201,8 @@
     RelayClient relay =
         new RelayClient(pathMonitor, peers, register(HttpClient.create("instances", 1)), clock);
     Forwarder forwarder =
-        new Forwarder(picker, upstreams, sender, crashDetector, pathMonitor, relay, clock);
+        new Forwarder(
+            picker, upstreams, sender, crashDetector, pathMonitor, relay, backgroundGate(), clock);
     ModelEngineAllocator shares = new ModelEngineAllocator(deployment, engines, partitions);
     this.rollouts =
         new Rollouts(
@@ -249,6 +251,12 @@
     startTasks(usage, loads, client, answers);
   }
 
+  private Optional<BackgroundGate> backgroundGate() {
+    return settings.getBalanceByEstimate() && settings.getBackgroundWindow()
+        ? Optional.of(new BackgroundGate(upstreams, clock))
+        : Optional.empty();
+  }
+
   /**
    * Starts an instance.
    *
--- a/server/src/main/java/org/marigoldmill/server/deployment/UpstreamProtocol.java
+++ b/server/src/main/java/org/marigoldmill/server/deployment/UpstreamProtocol.java
@@ -5,6 +5,7 @@
 import java.util.Optional;
 import java.util.OptionalDouble;
 import java.util.OptionalLong;
+import org.marigoldmill.core.balance.LoadReport;
 import org.marigoldmill.core.limit.Urgency;
 import org.marigoldmill.core.weights.WeightPlan;
 import org.marigoldmill.http.HttpCall;
@@ -52,7 +53,12 @@
    * @param slots maximum number of concurrent requests; 0 if unknown
    * @param slowdown time that work takes now, as a multiple of the usual time; 1 if unknown
    */
-  record UpstreamLoad(int running, int waiting, int slots, double slowdown) {}
+  record UpstreamLoad(int running, int waiting, int slots, double slowdown) {
+    /** Returns the load as the choice of upstreams takes it. */
+    public LoadReport toReport() {
+      return new LoadReport(running, waiting, slots, slowdown);
+    }
+  }
 
   /**
    * The status report of an engine, which lags some hundred milliseconds behind.
--- a/server/src/main/java/org/marigoldmill/server/gateway/AnswerObserver.java
+++ b/server/src/main/java/org/marigoldmill/server/gateway/AnswerObserver.java
@@ -4,7 +4,6 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalDouble;
-import org.marigoldmill.core.balance.LoadReport;
 import org.marigoldmill.core.limit.EngineLimits;
 import org.marigoldmill.core.limit.NamedLimits;
 import org.marigoldmill.core.placement.Engine;
@@ -13,7 +12,6 @@
 import org.marigoldmill.server.Clock;
 import org.marigoldmill.server.deployment.EngineRegistry;
 import org.marigoldmill.server.deployment.UpstreamProtocol;
-import org.marigoldmill.server.deployment.UpstreamProtocol.UpstreamLoad;
 
 /** Records what upstreams say of themselves in the headers of their answers. */
 public final class AnswerObserver {
@@ -60,12 +58,9 @@
     }
     long now = clock.now();
     String service = listed.get().service();
-    Optional<UpstreamLoad> load = protocol.upstreamLoad(headers);
-    if (load.isPresent()) {
-      UpstreamLoad l = load.get();
-      LoadReport report = new LoadReport(l.running(), l.waiting(), l.slots(), l.slowdown());
-      upstreams.recordReport(service, engine, incarnation, report, now);
-    }
+    protocol
+        .upstreamLoad(headers)
+        .ifPresent(l -> upstreams.recordReport(service, engine, incarnation, l.toReport(), now));
     if (protocol.leaving(headers)) {
       registry.recordLeaving(engine, incarnation);
     }
--- a/server/src/main/java/org/marigoldmill/server/gateway/Forwarder.java
+++ b/server/src/main/java/org/marigoldmill/server/gateway/Forwarder.java
@@ -26,6 +26,7 @@
 import org.marigoldmill.server.Pause;
 import org.marigoldmill.server.deployment.UpstreamProtocol;
 import org.marigoldmill.server.deployment.UpstreamProtocol.Attempt;
+import org.marigoldmill.server.deployment.UpstreamProtocol.UpstreamLoad;
 import org.marigoldmill.server.gateway.UpstreamPicker.Pick;
 import org.marigoldmill.server.gateway.UpstreamPicker.PickedUpstream;
 import org.marigoldmill.server.reachability.UpstreamPathMonitor;
@@ -152,9 +153,14 @@
   private final CrashDetector crashDetector;
   private final UpstreamPathMonitor path;
   private final RelayClient relay;
+  private final Optional<BackgroundGate> gate;
   private final Clock clock;
 
-  /** Creates a forwarder. */
+  /**
+   * Creates a forwarder.
+   *
+   * @param gate where background requests wait for free slots; empty if they do not
+   */
   public Forwarder(
       UpstreamPicker picker,
       UpstreamTable upstreams,
@@ -162,6 +168,7 @@
       CrashDetector crashes,
       UpstreamPathMonitor path,
       RelayClient relay,
+      Optional<BackgroundGate> gate,
       Clock clock) {
     this.picker = picker;
     this.upstreams = upstreams;
@@ -169,12 +176,21 @@
     this.crashDetector = crashes;
     this.path = path;
     this.relay = relay;
+    this.gate = gate;
     this.clock = clock;
   }
 
   /** Forwards a request; returns once a response is complete or no further attempt may follow. */
   public Outcome forward(Request request) {
-    return new AttemptLoop(request).run();
+    if (gate.isEmpty() || request.urgency() != Urgency.BACKGROUND) {
+      return new AttemptLoop(request).run();
+    }
+    gate.get().enter(request.service(), request.deadlineMs() - clock.now());
+    try {
+      return new AttemptLoop(request).run();
+    } finally {
+      gate.get().leave(request.service());
+    }
   }
 
   /** The attempts of one request. */
@@ -390,6 +406,12 @@
             request.id(), instance.getName(), received.status(), record.refusals());
         return;
       }
+      ownGate()
+          .ifPresent(
+              g ->
+                  g.recordAnswer(
+                      request.service(),
+                      protocol.upstreamLoad(received.headers()).map(UpstreamLoad::toReport)));
       if (mayBeQuarantined()) {
         crashDetector.recordAnswer(request);
       }
@@ -410,9 +432,14 @@
       response = relay ? Optional.of(received) : Optional.empty();
     }
 
+    private Optional<BackgroundGate> ownGate() {
+      return gate.filter(g -> request.urgency() == Urgency.BACKGROUND);
+    }
+
     private void recordRefusal(PlatformInstance instance, int status) {
       if (status == UNAVAILABLE_STATUS) {
         upstreams.recordRefusal(instance, clock.now());
+        ownGate().ifPresent(g -> g.recordRefusal(request.service()));
       } else {
         upstreams.release(instance);
       }
