The reserve of a cold engine with a high rate is computed without overflow; warm first is tested

Above some 2,000 requests a second the bound's exponential overflowed, and the reserve was 0. The test of the picker was green without the preference; now its cold engine has turns to give: red.

--- a/core/src/main/java/org/marigoldmill/core/limit/WarmupBudget.java
+++ b/core/src/main/java/org/marigoldmill/core/limit/WarmupBudget.java
@@ -41,7 +41,8 @@
     double high = excess;
     for (int i = 0; i < BISECTIONS; i++) {
       double mean = (low + high) / 2;
-      boolean rare = Math.exp(excess - mean) * Math.pow(mean / excess, excess) <= EXCESS_CHANCE;
+      double logChance = excess - mean + excess * Math.log(mean / excess);
+      boolean rare = logChance <= Math.log(EXCESS_CHANCE);
       low = rare ? mean : low;
       high = rare ? high : mean;
     }
--- a/server/src/test/java/org/marigoldmill/server/gateway/UpstreamPickerTest.java
+++ b/server/src/test/java/org/marigoldmill/server/gateway/UpstreamPickerTest.java
@@ -7,11 +7,14 @@
 import java.util.Optional;
 import java.util.OptionalDouble;
 import java.util.Random;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.Predicate;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.marigoldmill.core.limit.EngineLimits;
 import org.marigoldmill.core.limit.Urgency;
 import org.marigoldmill.core.limit.WarmupTable;
+import org.marigoldmill.core.placement.Engine;
 import org.marigoldmill.core.route.DeploymentConfig;
 import org.marigoldmill.core.routing.UpstreamTable;
 import org.marigoldmill.core.weights.EngineVersions;
@@ -23,14 +26,16 @@
   private static final long NOW_MS = 1_000_000;
   private static final int PICKS = 50;
 
+  private final AtomicLong time = new AtomicLong(NOW_MS);
+  private double coldPerSecond = 14;
   private final UpstreamTable upstreams = UpstreamTable.with(new Random(1));
   private final EngineRegistry registry =
       new EngineRegistry(new TextCodec(), upstreams, new EngineVersions());
   private final WarmupTable warmups =
-      new WarmupTable(s -> Optional.of(new DeploymentConfig.Warmup(3_000, 14)));
+      new WarmupTable(s -> Optional.of(new DeploymentConfig.Warmup(3_000, coldPerSecond)));
   private final EngineLimits limits = new EngineLimits("a", "a#1", warmups, new Random(1), NOW_MS);
   private final UpstreamPicker picker =
-      new UpstreamPicker(registry, upstreams, limits, "z", () -> NOW_MS);
+      new UpstreamPicker(registry, upstreams, limits, "z", time::get);
 
   @BeforeEach
   void listEngines() {
@@ -46,10 +51,21 @@
     return picker.pick("s", Urgency.CALL, e -> true, 100);
   }
 
+  private Optional<String> picked(Predicate<Engine> eligible) {
+    return picker.pick("s", Urgency.CALL, eligible, 0).picked().map(p -> p.engine().id());
+  }
+
   @Test
   void should_pick_a_warm_upstream_while_there_is_one() {
+    // GIVEN
+    coldPerSecond = 1e6;
+    assertThat(picked(e -> e.id().equals("cold"))).isEmpty();
+    time.addAndGet(10);
+    assertThat(picked(e -> e.id().equals("cold"))).contains("cold");
+    // WHEN, THEN
     for (int i = 0; i < PICKS; i++) {
-      assertThat(pick().picked().orElseThrow().engine().id()).isEqualTo("warm");
+      time.addAndGet(10);
+      assertThat(picked(e -> true)).contains("warm");
     }
   }
 
