What a cold engine tolerates comes from the settings of its deployment

The bound of one deployment (1.5 times the rate and 5) was built in; a deployment with a smaller one would have been broken.

--- a/core/src/main/java/org/marigoldmill/core/limit/ColdEngineTurns.java
+++ b/core/src/main/java/org/marigoldmill/core/limit/ColdEngineTurns.java
@@ -257,7 +257,9 @@
   }
 
   private int budget(String engine, long nowMs) {
-    return WarmupBudget.of(warmups.requestsPerSecond(engine, nowMs).orElseThrow()).claimed();
+    return WarmupBudget.of(
+            warmups.requestsPerSecond(engine, nowMs).orElseThrow(), warmups.tolerance())
+        .claimed();
   }
 
   private int wanted(String engine, State state, long nowMs) {
@@ -290,7 +292,7 @@
   private double reservedIntervalMs(String engine, int instances, long nowMs) {
     double rate = warmups.requestsPerSecond(engine, nowMs).orElseThrow();
     int all = instances == 0 ? UNKNOWN_INSTANCES : instances;
-    return 1e3 * all / WarmupBudget.of(rate).reservedPerSecond();
+    return 1e3 * all / WarmupBudget.of(rate, warmups.tolerance()).reservedPerSecond();
   }
 
   private State state(String engine, long nowMs) {
--- a/core/src/main/java/org/marigoldmill/core/limit/WarmupBudget.java
+++ b/core/src/main/java/org/marigoldmill/core/limit/WarmupBudget.java
@@ -11,10 +11,6 @@
   /** Time for which a turn without a claim may be used, in milliseconds. */
   static final long RESERVED_TURN_MS = 500;
 
-  /** Requests in a second that an engine tolerates beyond its rate: a factor, and a number. */
-  private static final double TOLERATED_FACTOR = 1.5;
-
-  private static final int TOLERATED_REQUESTS = 5;
   private static final double RESERVED_PART = 0.3;
 
   /** Chance that turns without a claim exceed their part in a second. */
@@ -23,8 +19,8 @@
   private static final int BISECTIONS = 40;
 
   /** Divides what an engine tolerates that accepts a number of requests a second. */
-  static WarmupBudget of(double requestsPerSecond) {
-    int tolerated = (int) (TOLERATED_FACTOR * requestsPerSecond + TOLERATED_REQUESTS);
+  static WarmupBudget of(double requestsPerSecond, WarmupTolerance tolerance) {
+    int tolerated = tolerance.requestsInSecond(requestsPerSecond);
     int reserved = (int) (RESERVED_PART * tolerated);
     double countedS = (1_000 + RESERVED_TURN_MS) / 1e3;
     double rate = Math.min(requestsPerSecond, meanBelow(reserved) / countedS);
--- a/core/src/main/java/org/marigoldmill/core/limit/WarmupTable.java
+++ b/core/src/main/java/org/marigoldmill/core/limit/WarmupTable.java
@@ -36,6 +36,7 @@
   }
 
   private final Function<String, Optional<DeploymentConfig.Warmup>> warmupOf;
+  private final WarmupTolerance tolerance;
   private final Map<String, Entry> entries = new HashMap<>();
 
   /** Time from which on no engine is cold; read without a lock, because it is asked for often. */
@@ -45,9 +46,17 @@
    * Creates an empty table.
    *
    * @param warmupOf how the engines of a service warm up, by name of the service
+   * @param tolerance what a cold engine tolerates beyond its rate
    */
-  public WarmupTable(Function<String, Optional<DeploymentConfig.Warmup>> warmupOf) {
+  public WarmupTable(
+      Function<String, Optional<DeploymentConfig.Warmup>> warmupOf, WarmupTolerance tolerance) {
     this.warmupOf = warmupOf;
+    this.tolerance = tolerance;
+  }
+
+  /** Returns what a cold engine tolerates beyond its rate. */
+  public WarmupTolerance tolerance() {
+    return tolerance;
   }
 
   /**
--- a/core/src/test/java/org/marigoldmill/core/limit/EngineLimitsTest.java
+++ b/core/src/test/java/org/marigoldmill/core/limit/EngineLimitsTest.java
@@ -268,7 +268,12 @@
   @Nested
   class Answers {
     private final EngineLimits limits =
-        new EngineLimits("a", "a#1", new WarmupTable(s -> Optional.empty()), new Random(1), 0);
+        new EngineLimits(
+            "a",
+            "a#1",
+            new WarmupTable(s -> Optional.empty(), new WarmupTolerance(1.5, 5)),
+            new Random(1),
+            0);
 
     @Test
     void should_bind_only_the_incarnation_that_gave_them() {
--- a/core/src/test/java/org/marigoldmill/core/limit/SimulatedFleet.java
+++ b/core/src/test/java/org/marigoldmill/core/limit/SimulatedFleet.java
@@ -28,7 +28,8 @@
   /** An instance with the demand that its callers and its submissions have for the engine. */
   final class Instance {
     private final String name;
-    private final WarmupTable warmups = new WarmupTable(service -> warmup);
+    private final WarmupTable warmups =
+        new WarmupTable(service -> warmup, new WarmupTolerance(1.5, 5));
     private final EngineLimits limits;
     private final long phaseMs;
     private long learnsAtMs = Long.MAX_VALUE;
--- a/core/src/test/java/org/marigoldmill/core/limit/WarmupTableTest.java
+++ b/core/src/test/java/org/marigoldmill/core/limit/WarmupTableTest.java
@@ -16,7 +16,8 @@
           service ->
               service.equals("s")
                   ? Optional.of(new DeploymentConfig.Warmup(3_000, 14))
-                  : Optional.empty());
+                  : Optional.empty(),
+          new WarmupTolerance(1.5, 5));
 
   private static Engine engine(String service, long incarnation, long warmupLeftMs) {
     return new Engine(
--- a/server/src/main/java/org/marigoldmill/server/DeploymentInstance.java
+++ b/server/src/main/java/org/marigoldmill/server/DeploymentInstance.java
@@ -20,6 +20,7 @@
 import java.util.random.RandomGenerator;
 import org.marigoldmill.core.limit.EngineLimits;
 import org.marigoldmill.core.limit.WarmupTable;
+import org.marigoldmill.core.limit.WarmupTolerance;
 import org.marigoldmill.core.quarantine.SuspectTable;
 import org.marigoldmill.core.relay.RelayPeers;
 import org.marigoldmill.core.route.DeploymentConfig;
@@ -204,7 +205,8 @@
                 deployment
                     .config()
                     .flatMap(c -> c.service(name))
-                    .flatMap(DeploymentConfig.Service::warmup));
+                    .flatMap(DeploymentConfig.Service::warmup),
+            new WarmupTolerance(settings.getWarmupExcess(), settings.getWarmupSlack()));
     this.limits =
         new EngineLimits(
             settings.getInstance(), process, warmups, RandomGenerator.getDefault(), clock.now());
--- a/server/src/test/java/org/marigoldmill/server/duty/DutyRecordsTest.java
+++ b/server/src/test/java/org/marigoldmill/server/duty/DutyRecordsTest.java
@@ -15,6 +15,7 @@
 import org.marigoldmill.core.limit.EngineLimits;
 import org.marigoldmill.core.limit.Urgency;
 import org.marigoldmill.core.limit.WarmupTable;
+import org.marigoldmill.core.limit.WarmupTolerance;
 import org.marigoldmill.core.quarantine.SuspectTable;
 import org.marigoldmill.core.submission.KeyedRecord;
 import org.marigoldmill.core.usage.WindowTallies;
@@ -55,7 +56,7 @@
           new EngineLimits(
               name,
               name + "#1",
-              new WarmupTable(service -> Optional.empty()),
+              new WarmupTable(service -> Optional.empty(), new WarmupTolerance(1.5, 5)),
               new Random(1),
               nowMs.get());
       fleet =
--- a/server/src/test/java/org/marigoldmill/server/duty/LimitLogTest.java
+++ b/server/src/test/java/org/marigoldmill/server/duty/LimitLogTest.java
@@ -11,6 +11,7 @@
 import org.marigoldmill.core.limit.EngineLimits;
 import org.marigoldmill.core.limit.Urgency;
 import org.marigoldmill.core.limit.WarmupTable;
+import org.marigoldmill.core.limit.WarmupTolerance;
 import org.marigoldmill.core.placement.Engine;
 import org.marigoldmill.core.route.DeploymentConfig;
 import org.marigoldmill.core.routing.UpstreamTable;
@@ -31,7 +32,8 @@
   private final LimitLog log = log("a", limits);
 
   private static WarmupTable warmups() {
-    return new WarmupTable(s -> Optional.of(new DeploymentConfig.Warmup(60_000, 14)));
+    return new WarmupTable(
+        s -> Optional.of(new DeploymentConfig.Warmup(60_000, 14)), new WarmupTolerance(1.5, 5));
   }
 
   private EngineLimits limits(String name, WarmupTable warmups) {
--- a/server/src/test/java/org/marigoldmill/server/gateway/ColdUpstreamPickerTest.java
+++ b/server/src/test/java/org/marigoldmill/server/gateway/ColdUpstreamPickerTest.java
@@ -14,6 +14,7 @@
 import org.marigoldmill.core.limit.EngineLimits;
 import org.marigoldmill.core.limit.Urgency;
 import org.marigoldmill.core.limit.WarmupTable;
+import org.marigoldmill.core.limit.WarmupTolerance;
 import org.marigoldmill.core.placement.Engine;
 import org.marigoldmill.core.route.DeploymentConfig;
 import org.marigoldmill.core.routing.UpstreamTable;
@@ -32,7 +33,9 @@
   private final EngineRegistry registry =
       new EngineRegistry(new TextCodec(), upstreams, new EngineVersions());
   private final WarmupTable warmups =
-      new WarmupTable(s -> Optional.of(new DeploymentConfig.Warmup(3_000, coldPerSecond)));
+      new WarmupTable(
+          s -> Optional.of(new DeploymentConfig.Warmup(3_000, coldPerSecond)),
+          new WarmupTolerance(1.5, 5));
   private final EngineLimits limits = new EngineLimits("a", "a#1", warmups, new Random(1), NOW_MS);
   private final UpstreamPicker picker =
       new UpstreamPicker(registry, upstreams, limits, "z", time::get);
--- a/server/src/test/java/org/marigoldmill/server/gateway/UpstreamPickerTest.java
+++ b/server/src/test/java/org/marigoldmill/server/gateway/UpstreamPickerTest.java
@@ -13,6 +13,7 @@
 import org.marigoldmill.core.limit.EngineLimits;
 import org.marigoldmill.core.limit.Urgency;
 import org.marigoldmill.core.limit.WarmupTable;
+import org.marigoldmill.core.limit.WarmupTolerance;
 import org.marigoldmill.core.placement.AllowedZones;
 import org.marigoldmill.core.placement.Engine;
 import org.marigoldmill.core.route.DeploymentConfig;
@@ -55,7 +56,12 @@
       new UpstreamPicker(
           registry,
           upstreams,
-          new EngineLimits("i", "i#1", new WarmupTable(s -> Optional.empty()), new Random(1), 0),
+          new EngineLimits(
+              "i",
+              "i#1",
+              new WarmupTable(s -> Optional.empty(), new WarmupTolerance(1.5, 5)),
+              new Random(1),
+              0),
           "a",
           () -> 0);
 
