--- a/cli/src/main/java/org/marigoldmill/cli/WarmUpCommand.java
+++ b/cli/src/main/java/org/marigoldmill/cli/WarmUpCommand.java
@@ -68,6 +68,7 @@
             .setUsageWindowMs(1_000)
             .setWorkerThreads(2)
             .setParallelLoads(1)
+            .setWarmupExcess(1)
             .build();
     DeploymentInstance instance = PlatformAdapter.start(settings, Map.of());
     List<String> missing = loadListedClasses();
