Revert "Items go to fast engines first, because an engine runs its requests as a batch"

Cause: not shown. Suspected: engines that are always the fastest are never idle, and a load of weights that waits for running items starts late there.

--- a/core/src/main/java/org/marigoldmill/core/placement/EngineLoads.java
+++ b/core/src/main/java/org/marigoldmill/core/placement/EngineLoads.java
@@ -9,10 +9,6 @@
 /**
  * Tracks this process's requests and the generation speed of each engine, and chooses engines.
  *
- * <p>Answers the load of steps whose items arrive together, longest first, at engines of unequal
- * speed: an engine generates for its runs as a batch, so a slow engine with a single run is slower
- * than a fast one with several, and is used once the fast ones have no free slot.
- *
  * <p>Times are readings of a monotonic clock in milliseconds.
  */
 public final class EngineLoads {
@@ -23,9 +19,6 @@
   private static final long MAX_FAILURE_BACKOFF_MS = 4_000;
   private static final double SMOOTHING_FACTOR = 0.2;
 
-  /** Part by which each further run lengthens an event, where an engine runs them as a batch. */
-  private static final double SLOWER_PER_RUN = 0.1;
-
   private static final class Load {
     private int running;
     private int failures;
@@ -45,8 +38,7 @@
    * @return the engine, or empty if none has a free slot and is out of back-off
    */
   public synchronized Optional<Engine> acquire(List<Engine> candidates, String zone, long nowMs) {
-    double usualMsPerEvent = usualMsPerEvent(candidates);
-    Comparator<Engine> byCost = Comparator.comparingDouble(e -> cost(e, usualMsPerEvent));
+    Comparator<Engine> byCost = Comparator.comparingDouble(this::cost);
     Comparator<Engine> localFirst = Comparator.comparing(e -> !e.zone().equals(zone));
     Optional<Engine> chosen =
         candidates.stream()
@@ -107,20 +99,11 @@
     return load.running < engine.slots() && load.backoffUntilMs <= nowMs;
   }
 
-  /** Returns the time for an event with one more request, in milliseconds. */
-  private double cost(Engine engine, double usualMsPerEvent) {
+  /** Returns the time for an event with one more request; unknown times count as 1 ms. */
+  private double cost(Engine engine) {
     Load load = load(engine.id());
-    double msPerEvent = load.msPerEvent == 0 ? usualMsPerEvent : load.msPerEvent;
-    return (1 + SLOWER_PER_RUN * load.running) * msPerEvent;
-  }
-
-  /** Returns the mean time for an event of the engines whose time is known, in milliseconds. */
-  private double usualMsPerEvent(List<Engine> engines) {
-    return engines.stream()
-        .mapToDouble(e -> load(e.id()).msPerEvent)
-        .filter(ms -> ms > 0)
-        .average()
-        .orElse(1);
+    double msPerEvent = load.msPerEvent == 0 ? 1 : load.msPerEvent;
+    return (load.running + 1) * msPerEvent;
   }
 
   private Load load(String engine) {
