Tests of two runs at once no longer take each other's ports

Cause, traced: in the directory of each failed case a process or stand-in ends with "BindException: Address already in use" (engine-a1, records-a1, instances, log, trainer, ordering, deployment-20/one and /two; deployment-19 of the other run got over it). A run began its ports at its process id times 500 modulo 20,000, so that two runs could use the same ones, and a process binds a port later than the test finds it free.

--- a/cli/src/test/java/org/marigoldmill/cli/process/DeploymentProcess.java
+++ b/cli/src/test/java/org/marigoldmill/cli/process/DeploymentProcess.java
@@ -40,8 +40,8 @@
   /** Starts an instance as {@link #start} does, from the binary of a build. */
   public static DeploymentProcess startBinary(
       String binary, String name, Path directory, String store, String... extra) {
-    String caller = ProcessCluster.freeAddress();
-    String ready = ProcessCluster.freeAddress();
+    String caller = FreePorts.address();
+    String ready = FreePorts.address();
     String settings =
         String.join(
             "\n",
@@ -49,8 +49,8 @@
             "zone = \"a\"",
             "caller_address = \"" + caller + "\"",
             "ready_address = \"" + ready + "\"",
-            "metrics_address = \"" + ProcessCluster.freeAddress() + "\"",
-            "relay_address = \"" + ProcessCluster.freeAddress() + "\"",
+            "metrics_address = \"" + FreePorts.address() + "\"",
+            "relay_address = \"" + FreePorts.address() + "\"",
             "store = \"" + store + "\"",
             "turn_guard_ms = 500",
             String.join("\n", extra),
--- a/cli/src/test/java/org/marigoldmill/cli/process/ProcessCluster.java
+++ b/cli/src/test/java/org/marigoldmill/cli/process/ProcessCluster.java
@@ -3,8 +3,6 @@
 import com.google.protobuf.Message;
 import java.io.IOException;
 import java.io.UncheckedIOException;
-import java.net.InetAddress;
-import java.net.ServerSocket;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -13,7 +11,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
-import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.BooleanSupplier;
 import org.marigoldmill.http.HttpCall;
 import org.marigoldmill.http.HttpCall.Header;
@@ -32,10 +29,6 @@
 public final class ProcessCluster implements AutoCloseable {
   private static final long AWAIT_TIMEOUT_MS = 40_000;
   private static final long POLL_MS = 50;
-  private static final int FIRST_PORT = 10_000;
-  private static final int PORT_COUNT = 20_000;
-  private static final AtomicInteger NEXT_PORT =
-      new AtomicInteger((int) (ProcessHandle.current().pid() * 500 % PORT_COUNT));
   private static final String STANDIN_JAVA_OPTIONS =
       "-Xmx64m -XX:+UseSerialGC -XX:TieredStopAtLevel=1";
   private static final String ENTRY_JAVA_OPTIONS =
@@ -131,7 +124,7 @@
 
   /** Starts a stand-in, on the port of an earlier one of that name or else on a free port. */
   public SpawnedProcess startStandin(String kind, String name, String... extra) {
-    String address = addresses.computeIfAbsent(name, n -> freeAddress());
+    String address = addresses.computeIfAbsent(name, n -> FreePorts.address());
     List<String> lines = new ArrayList<>(List.of(extra));
     lines.add("name = \"" + name + "\"");
     lines.add("address = \"" + address + "\"");
@@ -141,7 +134,8 @@
 
   /** Starts an entry instance and registers it in the instance list. */
   public ProcessCluster entry(String name, String zone, String... extra) {
-    Entry entry = new Entry(name, zone, freeAddress(), freeAddress(), freeAddress());
+    Entry entry =
+        new Entry(name, zone, FreePorts.address(), FreePorts.address(), FreePorts.address());
     entries.put(name, entry);
     List<String> lines = new ArrayList<>(List.of(extra));
     lines.add("instance = \"" + name + "\"");
@@ -387,21 +381,4 @@
   private static int countOccurrences(String text, String part) {
     return (text.length() - text.replace(part, "").length()) / part.length();
   }
-
-  /** Returns a loopback address; its port is below the range of ephemeral ports. */
-  static String freeAddress() {
-    int port = FIRST_PORT + NEXT_PORT.getAndIncrement() % PORT_COUNT;
-    while (!isFree(port)) {
-      port = FIRST_PORT + NEXT_PORT.getAndIncrement() % PORT_COUNT;
-    }
-    return "127.0.0.1:" + port;
-  }
-
-  private static boolean isFree(int port) {
-    try (ServerSocket socket = new ServerSocket(port, 1, InetAddress.getLoopbackAddress())) {
-      return socket.isBound();
-    } catch (IOException e) {
-      return false;
-    }
-  }
 }
