--- a/review/harness/FalseRefusals.java
+++ b/review/harness/FalseRefusals.java
@@ -28,10 +28,7 @@
   int play() throws Exception {
     String booking =
         route(
-            "booking",
-            "mutating",
-            "app",
-            ",\"timeout_ms\":3000,\"slo_ms\":300,\"max_attempts\":2");
+            "booking", "mutating", "app", ",\"timeout_ms\":3000,\"slo_ms\":300,\"max_attempts\":2");
     store.put("op", "config", config(1, booking, "\"key-one\""));
     for (int i = 0; i < ENGINES; i++) {
       Engine engine = new Engine("i-" + (i + 1), "app", i % 2 == 0 ? "z1" : "z2", "", 6, record);
