Review: items run at a service to which no route sends them

Shown by review/5/run.sh: a configuration adds a second service with the same model; the route of the batch submissions stays, yet their items are run by the new service (ROUTE).

Cause: ModelEngineAllocator keeps the engines of one service for a model, whichever comes last, and the scheduler looks engines up by model alone.

--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -1,4 +1,4 @@
 #!/usr/bin/env bash
 # Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
 cd "$(dirname "$0")" || exit 2
-exec ../harness/run-case . MixedVersions
+exec ../harness/run-case . OtherService
