A request that has run is not answered with a status that promises the contrary

Cause: AttemptLoop.evaluate returned every 4xx of an engine as it was. The check for statuses by which callers conclude "not run" came after that, so it saw 503 only; 408 and 429 passed it. The instance that had sent a request through another one passed on whatever that one returned.

Change: AnswerRule (core) decides what becomes of an answer, by status first. An answer that promises "not run", and does not say that it really is so, is withheld: an idempotent request is tried again, and a caller without a further attempt gets 502. A relayed answer is checked too, since the instance that carried the request may be of an older build.

--- a/cli/src/test/java/org/marigoldmill/cli/deployment/CutOffInstanceIT.java
+++ b/cli/src/test/java/org/marigoldmill/cli/deployment/CutOffInstanceIT.java
@@ -189,6 +189,19 @@
       assertThat(IntStream.range(0, CALLS).mapToLong(i -> runs("once-" + i))).containsOnly(1L);
     }
 
+    /** An engine's 429 reached callers through the instance that carried their requests. */
+    @Test
+    void should_not_be_promised_that_a_request_has_not_run_when_it_has_run_elsewhere() {
+      // GIVEN
+      paths.cut(Cut.REFUSE);
+      statuses(CUT_OFF, "/app/x", "call-");
+      // WHEN
+      HttpResponse answer = cluster.sendWith(CUT_OFF, "/once/status/429", "limited");
+      // THEN
+      assertThat(answer.status()).isEqualTo(502);
+      assertThat(runs("limited")).isEqualTo(1);
+    }
+
     @ParameterizedTest
     @EnumSource(Cut.class)
     void should_get_whole_streams(Cut how) {
--- a/cli/src/test/java/org/marigoldmill/cli/deployment/EngineStandin.java
+++ b/cli/src/test/java/org/marigoldmill/cli/deployment/EngineStandin.java
@@ -33,6 +33,9 @@
   /** Marks paths whose answers name the request; the number after it is the time of the run. */
   private static final String ECHO_SEGMENT = "/echo/";
 
+  /** Marks paths whose requests run and are answered with the status after it. */
+  private static final String STATUS_SEGMENT = "/status/";
+
   /** A weight order as received. */
   record Order(long version, long fence, String holder) {}
 
@@ -205,6 +208,12 @@
   }
 
   private void answer(HttpServerExchange exchange, String path, String request) throws IOException {
+    int status = path.indexOf(STATUS_SEGMENT);
+    if (status >= 0) {
+      exchange.setStatusCode(Integer.parseInt(path.substring(status + STATUS_SEGMENT.length())));
+      exchange.getOutputStream().write("ran".getBytes(UTF_8));
+      return;
+    }
     int echo = path.indexOf(ECHO_SEGMENT);
     if (!path.startsWith("/gen/") && echo >= 0) {
       sleep(Long.parseLong(path.substring(echo + ECHO_SEGMENT.length())));
--- a/server/src/main/java/org/marigoldmill/server/gateway/Forwarder.java
+++ b/server/src/main/java/org/marigoldmill/server/gateway/Forwarder.java
@@ -7,6 +7,7 @@
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.function.BooleanSupplier;
+import org.marigoldmill.core.attempt.AnswerRule;
 import org.marigoldmill.core.attempt.AttemptTracker;
 import org.marigoldmill.core.error.ErrorKind;
 import org.marigoldmill.core.limit.LimitWait;
@@ -310,6 +311,10 @@
       switch (verdict) {
         case ANSWERED -> {
           relay.recordAnswered(peer);
+          if (AnswerRule.promisesNotRun(received.status())) {
+            withholdAnswer(peer.name(), received.status());
+            return;
+          }
           record.recordAnsweredElsewhere();
           response =
               Optional.of(
@@ -439,8 +444,8 @@
         crashDetector.recordAnswer(request);
       }
       boolean proven = protocol.proof(received.headers()).isPresent();
-      boolean final4xx = received.status() >= 400 && received.status() < 500;
-      if ((received.successful() && proven) || final4xx) {
+      AnswerRule use = AnswerRule.of(received.status(), proven);
+      if (use == AnswerRule.RETURN) {
         upstreams.recordSuccess(instance);
         record.recordAnswered();
         response = Optional.of(received);
@@ -451,8 +456,15 @@
       logger.atInfo().log(
           "attempt failed id=%s engine=%s status=%d attempt=%d",
           request.id(), instance.getName(), received.status(), record.attempts());
-      boolean relay = proven && !impliesNotRun(received.status()) && !received.successful();
-      response = relay ? Optional.of(received) : Optional.empty();
+      response = use == AnswerRule.RETURN_IF_LAST ? Optional.of(received) : Optional.empty();
+    }
+
+    private void withholdAnswer(String peer, int status) {
+      record.recordFailed(false);
+      response = Optional.empty();
+      logger.atInfo().log(
+          "relayed answer withheld, the request has run id=%s peer=%s status=%d",
+          request.id(), peer, status);
     }
 
     private Optional<BackgroundGate> ownGate() {
@@ -480,9 +492,4 @@
       }
     }
   }
-
-  /** Returns whether callers conclude from a status that the request has not run. */
-  private static boolean impliesNotRun(int status) {
-    return status == 408 || status == 421 || status == 429 || status == 503;
-  }
 }
