An upstream's header no longer speaks for this service about whether a request has run

What callers could see, on the product's own interface: an upstream that runs a request and answers with a header Marigoldmill-Run: not-run has this passed on, and the header is the promise by which callers send a request again (docs/ERRORS.md).

Evidence: UpstreamRequestTest, red before. Change: the header is dropped from answers.

--- a/server/src/main/java/org/marigoldmill/server/call/UpstreamRequest.java
+++ b/server/src/main/java/org/marigoldmill/server/call/UpstreamRequest.java
@@ -50,6 +50,8 @@
           "content-length",
           "set-cookie",
           "x-request-id",
+          // Callers take this header for a statement of this service.
+          "marigoldmill-run",
           "date");
 
   private UpstreamRequest() {}
