A caller's own relay headers are not taken for those of the instance that passes it on

What callers could see: while an instance reaches no upstream, a request with a header Marigoldmill-Relay-Config of the caller's is refused with 503 by every instance that should carry it; with Marigoldmill-Relay-Attempts a caller chooses how many attempts the other instance makes.

Cause: the headers were added behind those of the caller, and the first value counts. Evidence: CutOffInstanceIT, red before (503 where 200 is expected). Change: a caller's headers with that prefix are dropped before the instance adds its own; engines did not get them before either.

--- a/cli/src/test/java/org/marigoldmill/cli/deployment/CutOffInstanceIT.java
+++ b/cli/src/test/java/org/marigoldmill/cli/deployment/CutOffInstanceIT.java
@@ -202,6 +202,17 @@
       assertThat(runs("limited")).isEqualTo(1);
     }
 
+    /** A caller's headers were taken for those of the instance that passes the request on. */
+    @Test
+    void should_be_served_when_they_send_headers_of_the_relay_themselves() {
+      // GIVEN
+      paths.cut(Cut.REFUSE);
+      statuses(CUT_OFF, "/app/x", "call-");
+      Header forged = new Header("Marigoldmill-Relay-Config", "99");
+      // WHEN, THEN
+      assertThat(cluster.sendWith(CUT_OFF, "/app/x", "forged", forged).status()).isEqualTo(200);
+    }
+
     @ParameterizedTest
     @EnumSource(Cut.class)
     void should_get_whole_streams(Cut how) {
--- a/server/src/main/java/org/marigoldmill/server/relay/RelayClient.java
+++ b/server/src/main/java/org/marigoldmill/server/relay/RelayClient.java
@@ -98,7 +98,9 @@
             .method(call.method())
             .headers(
                 Stream.concat(
-                        call.order().caller().headers(remainingMs, call.resumeAfter()).stream(),
+                        RelayProtocol.withoutRelayHeaders(
+                            call.order().caller().headers(remainingMs, call.resumeAfter()))
+                            .stream(),
                         RelayProtocol.requestHeaders(carried).stream())
                     .toList())
             .timeouts(
