Text of an item can no longer end its request and begin another one

Cause: paths, headers and ids of items and reward calls come from JSON, where a string may hold any character; nothing between the parser and the connection looked at them, and Undertow's client writes a head with the lowest byte of each character, so U+010A is a line feed as well. On the same path, found while tracing it: headers of an item were not filtered as those of a call are. Its own Transfer-Encoding went out beside our Content-Length, so that the engine read the rest of the body as another request, and its Connection could name X-Tenant.

Change: HttpSyntax says what a method, path, header name and value may hold. ItemSyntax applies it to ids, paths, headers and hosts of items and reward calls: 400, nothing is stored. An item that a former build has stored is not sent. HttpClient refuses any other head that breaks the syntax before it connects, and the gateway answers 400 for a caller's. Headers of a connection are dropped from items too. Items cannot call the interface by which engines are ordered.

--- a/cli/src/test/java/org/marigoldmill/cli/deployment/BadInputIT.java
+++ b/cli/src/test/java/org/marigoldmill/cli/deployment/BadInputIT.java
@@ -14,6 +14,7 @@
 import java.net.Socket;
 import java.net.SocketException;
 import java.net.URI;
+import java.util.Base64;
 import java.util.List;
 import java.util.function.Consumer;
 import org.junit.jupiter.api.AfterAll;
@@ -65,6 +66,28 @@
       assertServing();
     }
 
+    /** The first two are read as a header of their own, or refused, by different HTTP parsers. */
+    @ParameterizedTest
+    @ValueSource(
+        strings = {
+          "X-Note: a\rX-Tenant: other\r\n",
+          "X-Note: a\nX-Tenant: other\r\n",
+          "X-Note: a\r\n X-Tenant: other\r\n",
+          "X-Tenant : other\r\n",
+          "X-Tenant\u0000: other\r\n",
+        })
+    void should_run_nothing_for_another_organisation_when_a_header_is_odd(String header)
+        throws IOException {
+      String id = "odd-" + header.hashCode();
+      sendRaw(
+          "GET /app/x HTTP/1.1\r\nHost: h\r\n"
+              + KEY
+              + header
+              + ("X-Attempt-Id: " + id + "\r\nConnection: close\r\n\r\n"));
+      assertThat(cluster.plain.organisation(id)).isIn("", "t");
+      assertServing();
+    }
+
     @Test
     void should_refuse_when_there_is_no_id() throws IOException {
       assertRefused("GET /app/x HTTP/1.1\r\nHost: h\r\n" + KEY + "Connection: close\r\n\r\n");
@@ -160,6 +183,62 @@
           s -> item(s).putObject("scorer").put("body", "%"));
     }
 
+    /** Engines ran smuggled requests, and items of other organisations. */
+    @Test
+    void should_refuse_when_text_of_an_item_could_begin_another_request() {
+      String request =
+          String.join(
+              "\r\n",
+              "POST /gen/forged HTTP/1.1",
+              "Host: h",
+              "X-Attempt-Id: forged",
+              "X-Tenant: other",
+              "X-Expect-Instance: e-1",
+              "Content-Length: 0",
+              "",
+              "");
+      String smuggled = "a HTTP/1.1\r\n\r\n" + request;
+      List<Consumer<ObjectNode>> corruptions =
+          List.of(
+              s -> item(s).put("path", "/gen/" + smuggled),
+              s -> item(s).put("path", "/gen/a\u010Ab"),
+              s -> item(s).put("path", "/-/order"),
+              s -> item(s).put("id", smuggled),
+              s -> ((ObjectNode) item(s).get("headers")).put("X-Note", smuggled),
+              s -> ((ObjectNode) item(s).get("headers")).put(smuggled, "a"),
+              s -> ((ObjectNode) item(s).get("scorer")).put("path", "/app/" + smuggled),
+              s -> ((ObjectNode) item(s).get("scorer")).put("host", smuggled),
+              s -> ((ObjectNode) item(s).get("scorer")).put("id", smuggled));
+      for (Consumer<ObjectNode> corrupt : corruptions) {
+        ObjectNode submission = DeploymentCluster.submission("bad");
+        corrupt.accept(submission);
+        assertSubmissionRefused(submission.toString());
+      }
+      assertThat(countRuns("forged")).isZero();
+    }
+
+    /** A body was read as a second request, since the item's own length went before ours. */
+    @Test
+    void should_run_only_the_items_when_their_headers_are_those_of_a_connection() {
+      // GIVEN
+      String body = "0\r\n\r\nGET /gen/x HTTP/1.1\r\nX-Attempt-Id: in-body\r\n\r\n";
+      ObjectNode submission = DeploymentCluster.submission("framed");
+      item(submission).put("body", Base64.getEncoder().encodeToString(body.getBytes(UTF_8)));
+      ((ObjectNode) item(submission).get("headers"))
+          .put("Transfer-Encoding", "chunked")
+          .put("Content-Length", "3")
+          .put("Connection", "X-Tenant, X-Attempt-Id")
+          .put("X-Tenant", "other")
+          .put("Api-Key", "other-key");
+      // WHEN
+      assertThat(cluster.post(0, "/batch/framed", "framed", submission).status()).isEqualTo(202);
+      DeploymentCluster.await(
+          () -> cluster.results(1, "framed", 0).get("next").asInt() == DeploymentCluster.ITEMS);
+      // THEN
+      assertThat(countRuns("in-body")).isZero();
+      assertThat(cluster.engine.organisation("framed-0")).isEqualTo("t");
+    }
+
     private ObjectNode item(ObjectNode submission) {
       return (ObjectNode) ((ArrayNode) submission.get("items")).get(0);
     }
--- a/cli/src/test/java/org/marigoldmill/cli/deployment/EngineStandin.java
+++ b/cli/src/test/java/org/marigoldmill/cli/deployment/EngineStandin.java
@@ -11,7 +11,9 @@
 import java.io.IOException;
 import java.io.OutputStream;
 import java.util.List;
+import java.util.Map;
 import java.util.Queue;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -47,6 +49,7 @@
   private final AtomicInteger accepted = new AtomicInteger();
   private final Queue<Order> orders = new ConcurrentLinkedQueue<>();
   private final Queue<String> startedRequests = new ConcurrentLinkedQueue<>();
+  private final Map<String, String> organisations = new ConcurrentHashMap<>();
   private final Queue<String> resumedRequests = new ConcurrentLinkedQueue<>();
   private final Queue<String> abortedRequests = new ConcurrentLinkedQueue<>();
   private final AtomicBoolean closed = new AtomicBoolean();
@@ -107,6 +110,11 @@
     return entry;
   }
 
+  /** Returns for whom a request was run, or an empty string if it was not run. */
+  String organisation(String request) {
+    return organisations.getOrDefault(request, "");
+  }
+
   /** Makes the engine answer requests that crash others. */
   void bearsPoison() {
     bearsPoison = true;
@@ -166,6 +174,8 @@
       acceptOrder(exchange, MAPPER.readTree(body));
     } else {
       startedRequests.add(request);
+      String organisation = exchange.getRequestHeaders().getLast("X-Tenant");
+      organisations.put(request, organisation == null ? "none" : organisation);
       if (exchange.getRequestHeaders().contains("Last-Event-Id")) {
         resumedRequests.add(request);
       }
--- a/http/src/main/java/org/marigoldmill/http/HttpClient.java
+++ b/http/src/main/java/org/marigoldmill/http/HttpClient.java
@@ -188,8 +188,14 @@
    * Makes a call and returns once the head of the response has arrived.
    *
    * @throws HttpCallException when no response head arrived
+   * @throws IllegalArgumentException when the head of the request breaks {@link HttpSyntax}
    */
   public HttpStream open(HttpCall call) {
+    HttpSyntax.violation(call.method(), call.path(), call.headers())
+        .ifPresent(
+            message -> {
+              throw new IllegalArgumentException(message);
+            });
     observer.callStarted();
     try {
       return openObserved(call);
--- a/server/src/main/java/org/marigoldmill/server/batch/ItemTask.java
+++ b/server/src/main/java/org/marigoldmill/server/batch/ItemTask.java
@@ -12,6 +12,7 @@
   private final Submission submission;
   private final RolloutItem item;
   private final int position;
+  private final boolean sendable;
   private final GeneratedText text = new GeneratedText();
   private volatile boolean running;
   private volatile boolean cancelled;
@@ -23,10 +24,16 @@
   private Cancellation attemptCancellation = new Cancellation();
   private int failures;
 
-  ItemTask(Submission submission, RolloutItem item, int position) {
+  /**
+   * Creates a task without an attempt.
+   *
+   * @param sendable whether the item can be sent; one that a former build accepted may not be
+   */
+  ItemTask(Submission submission, RolloutItem item, int position, boolean sendable) {
     this.submission = submission;
     this.item = item;
     this.position = position;
+    this.sendable = sendable;
   }
 
   Submission submission() {
@@ -76,7 +83,7 @@
   }
 
   boolean canStart(long nowMs) {
-    return !running && !cancelled && notBeforeMs <= nowMs;
+    return sendable && !running && !cancelled && notBeforeMs <= nowMs;
   }
 
   boolean running() {
--- a/server/src/main/java/org/marigoldmill/server/batch/RolloutScheduler.java
+++ b/server/src/main/java/org/marigoldmill/server/batch/RolloutScheduler.java
@@ -227,7 +227,7 @@
         wanted.add(key);
         if (!draining) {
           int position = i;
-          tasks.computeIfAbsent(key, k -> new ItemTask(submission, item, position));
+          tasks.computeIfAbsent(key, k -> newTask(submission, item, position));
         }
       }
     }
@@ -243,6 +243,16 @@
             });
   }
 
+  private static ItemTask newTask(Submission submission, RolloutItem item, int position) {
+    Optional<String> violation = ItemSyntax.violation(item);
+    violation.ifPresent(
+        v ->
+            logger.atWarning().log(
+                "item never sent submission=%s position=%d cause=%s",
+                submission.getId(), position, v));
+    return new ItemTask(submission, item, position, violation.isEmpty());
+  }
+
   private void startReadyItems() {
     long now = clock.now();
     List<ItemTask> ready =
--- a/server/src/main/java/org/marigoldmill/server/gateway/Gateway.java
+++ b/server/src/main/java/org/marigoldmill/server/gateway/Gateway.java
@@ -19,8 +19,10 @@
 import org.marigoldmill.core.limit.Urgency;
 import org.marigoldmill.core.route.DeploymentConfig;
 import org.marigoldmill.core.route.Route;
+import org.marigoldmill.http.HttpCall;
 import org.marigoldmill.http.HttpResponse;
 import org.marigoldmill.http.HttpServer;
+import org.marigoldmill.http.HttpSyntax;
 import org.marigoldmill.server.Clock;
 import org.marigoldmill.server.Metrics;
 import org.marigoldmill.server.deployment.CallerProtocol;
@@ -413,15 +415,23 @@
     String query = exchange.getQueryString();
     String path = exchange.getRequestURI() + (query.isEmpty() ? "" : "?" + query);
     String service = route.chooseService(id);
+    String method = exchange.getRequestMethod().toString();
+    List<HttpCall.Header> headers =
+        RelayProtocol.withoutRelayHeaders(protocol.forwardedHeaders(exchange));
+    HttpSyntax.violation(method, path, headers)
+        .ifPresent(
+            v -> {
+              throw MarigoldmillException.of(ErrorKind.BAD_REQUEST, v);
+            });
     Forwarder.Request request =
         new Forwarder.Request(
             id,
             route,
             service,
             host(exchange),
-            exchange.getRequestMethod().toString(),
+            method,
             path,
-            RelayProtocol.withoutRelayHeaders(protocol.forwardedHeaders(exchange)),
+            headers,
             body,
             organisation,
             Urgency.CALL,
