Items run only at services to which the route of their submission leads

Cause: the engines of a model were kept by the name of the model. Each service that serves it replaced those of the service before, in the order of a hash map, and the scheduler looked engines up by that name alone; which service a submission's route led to was not stored. On the same path: a text could be continued at any engine of any service with the same software version; runs were moved from slow engines across services; and new weights were ordered only for the engines of the service that happened to come last.

EngineAllocation keeps engines by service and model, for items, moves, weights and needed engines. A text that another service has begun is started anew.

--- a/core/src/main/java/org/marigoldmill/core/route/Route.java
+++ b/core/src/main/java/org/marigoldmill/core/route/Route.java
@@ -63,6 +63,10 @@
    * @return name of the service
    */
   public String chooseService(String requestId) {
+    return chooseService(targets, requestId);
+  }
+
+  static String chooseService(List<Target> targets, String requestId) {
     int total = targets.stream().mapToInt(Target::weight).sum();
     if (targets.size() == 1 || total <= 0) {
       return targets.get(0).service();
@@ -77,6 +81,12 @@
     return targets.get(targets.size() - 1).service();
   }
 
+  /** Returns the services that get requests of this route. */
+  public List<Target> usedTargets() {
+    List<Target> weighted = targets.stream().filter(t -> t.weight() > 0).toList();
+    return weighted.isEmpty() ? targets.subList(0, 1) : weighted;
+  }
+
   /** Returns a copy for a request of which another instance makes some of the attempts. */
   public Route withMaxAttempts(int attempts) {
     return new Route(
--- a/server/src/main/java/org/marigoldmill/server/batch/EngineNeedPublisher.java
+++ b/server/src/main/java/org/marigoldmill/server/batch/EngineNeedPublisher.java
@@ -11,6 +11,7 @@
 import org.marigoldmill.core.supply.EngineNeed;
 import org.marigoldmill.core.supply.SlotTimes;
 import org.marigoldmill.server.Clock;
+import org.marigoldmill.server.batch.EngineAllocation.ServedModel;
 import org.marigoldmill.server.deployment.DeploymentState;
 import org.marigoldmill.server.duty.EngineOrderLog;
 
@@ -33,10 +34,10 @@
   private final EngineOrderLog orders;
   private final LongSupplier unixMs;
   private final Clock clock;
-  private final Map<String, Published> publishedByModel = new HashMap<>();
+  private final Map<ServedModel, Published> published = new HashMap<>();
 
-  /** Slots of an engine as last seen, for the time in which a model has none. */
-  private final Map<String, Double> slotsByModel = new HashMap<>();
+  /** Slots of an engine as last seen, for the time in which there is none. */
+  private final Map<ServedModel, Double> slotsOfEngine = new HashMap<>();
 
   EngineNeedPublisher(
       RolloutScheduler scheduler,
@@ -66,7 +67,7 @@
     if (!scheduler.active() || services.isEmpty()) {
       return;
     }
-    Map<String, List<Engine>> engines = allocator.enginesByModel();
+    EngineAllocation engines = allocator.allocation();
     for (DeploymentConfig.Service service : services) {
       service
           .autoscale()
@@ -77,37 +78,35 @@
                       .forEach(
                           m ->
                               publishIfDue(
-                                  service.name(),
-                                  m,
-                                  engines.getOrDefault(m, List.of()),
-                                  scale.startupMs())));
+                                  new ServedModel(service.name(), m), engines, scale.startupMs())));
     }
   }
 
-  private void publishIfDue(String service, String model, List<Engine> engines, long startupMs) {
+  private void publishIfDue(ServedModel served, EngineAllocation allocation, long startupMs) {
+    List<Engine> engines = allocation.of(served);
     engines.stream()
         .mapToInt(Engine::slots)
         .average()
-        .ifPresent(slots -> slotsByModel.put(model, slots));
-    double slots = slotsByModel.getOrDefault(model, 0.0);
-    OptionalDouble msPerToken = slotTimes.msPerToken(model);
+        .ifPresent(slots -> slotsOfEngine.put(served, slots));
+    double slots = slotsOfEngine.getOrDefault(served, 0.0);
+    OptionalDouble msPerToken = slotTimes.msPerToken(served.model());
     if (slots <= 0 || msPerToken.isEmpty()) {
       return;
     }
     List<EngineNeed.Work> work =
-        scheduler.openWork(model, msPerToken.getAsDouble(), unixMs.getAsLong());
+        scheduler.openWork(served, allocation, msPerToken.getAsDouble(), unixMs.getAsLong());
     double needed = EngineNeed.engines(work, slots, startupMs);
     boolean late = needed > engines.size();
     long now = clock.now();
-    Published last = publishedByModel.get(model);
+    Published last = published.get(served);
     boolean due = last == null || now - last.atMs() >= REPEAT_INTERVAL_MS || (late && !last.late());
-    if (due && (late || orders.needsMatter(service))) {
-      orders.publishNeed(service, model, needed, late);
-      publishedByModel.put(model, new Published(late, now));
+    if (due && (late || orders.needsMatter(served.service()))) {
+      orders.publishNeed(served.service(), served.model(), needed, late);
+      published.put(served, new Published(late, now));
       if (late && (last == null || !last.late())) {
         logger.atInfo().log(
             "engines too few service=%s model=%s needed=%.2f allocated=%d slot_ms_per_token=%.3f",
-            service, model, needed, engines.size(), msPerToken.getAsDouble());
+            served.service(), served.model(), needed, engines.size(), msPerToken.getAsDouble());
       }
     }
   }
--- a/server/src/main/java/org/marigoldmill/server/batch/ItemTask.java
+++ b/server/src/main/java/org/marigoldmill/server/batch/ItemTask.java
@@ -1,5 +1,6 @@
 package org.marigoldmill.server.batch;
 
+import java.util.Optional;
 import org.marigoldmill.core.placement.Engine;
 import org.marigoldmill.core.submission.GeneratedText;
 import org.marigoldmill.core.submission.GiveUpRule;
@@ -19,6 +20,7 @@
   private volatile boolean moving;
   private volatile String engineId = "";
   private volatile String engineSoftware = "";
+  private volatile String engineService = "";
   private volatile long startedAtMs;
   private volatile long notBeforeMs = Long.MIN_VALUE;
   private Cancellation attemptCancellation = new Cancellation();
@@ -95,6 +97,7 @@
     attemptCancellation = new Cancellation();
     engineId = engine.id();
     engineSoftware = engine.softwareVersion();
+    engineService = engine.service();
     startedAtMs = nowMs;
     moving = false;
     running = true;
@@ -110,6 +113,22 @@
     return engineSoftware;
   }
 
+  /** Returns the service of the engine of the current or last attempt. */
+  String engineService() {
+    return engineService;
+  }
+
+  /** Returns the service whose engines generated the text so far, or empty without a text. */
+  Optional<String> textService() {
+    return text.lastEventId().isPresent() ? Optional.of(engineService) : Optional.empty();
+  }
+
+  /** Returns whether an engine cannot continue the text, so that it must begin it anew. */
+  boolean mustRestartAt(Engine engine) {
+    return textService().filter(s -> !s.equals(engine.service())).isPresent()
+        || text.softwareVersion().filter(v -> !v.equals(engine.softwareVersion())).isPresent();
+  }
+
   /** Returns for how long the item could have been started, in milliseconds. */
   long waitedMs(long nowMs) {
     return notBeforeMs == Long.MIN_VALUE ? 0 : Math.max(0, nowMs - notBeforeMs);
--- a/server/src/main/java/org/marigoldmill/server/batch/ModelEngineAllocator.java
+++ b/server/src/main/java/org/marigoldmill/server/batch/ModelEngineAllocator.java
@@ -10,6 +10,7 @@
 import org.marigoldmill.core.placement.EngineShares;
 import org.marigoldmill.core.route.DeploymentConfig;
 import org.marigoldmill.schema.submission.Submission;
+import org.marigoldmill.server.batch.EngineAllocation.ServedModel;
 import org.marigoldmill.server.deployment.DeploymentState;
 import org.marigoldmill.server.deployment.EngineRegistry;
 
@@ -39,12 +40,8 @@
     return services().stream().flatMap(s -> s.models().stream()).toList();
   }
 
-  /**
-   * Returns the allocation of engines that accept new work.
-   *
-   * @return engines by name of the model
-   */
-  public Map<String, List<Engine>> enginesByModel() {
+  /** Returns the allocation of engines that accept new work. */
+  EngineAllocation allocation() {
     Map<String, Submission> newest = new HashMap<>();
     partitions
         .allSubmissions()
@@ -52,11 +49,11 @@
             s ->
                 newest.merge(
                     s.getModel(), s, (a, b) -> BY_ACCEPTANCE_TIME.compare(a, b) > 0 ? a : b));
-    Map<String, List<Engine>> engines = new HashMap<>();
+    Map<ServedModel, List<Engine>> engines = new HashMap<>();
     services().stream()
         .filter(s -> !s.models().isEmpty())
         .forEach(s -> allocate(s, newest, engines));
-    return engines;
+    return new EngineAllocation(engines);
   }
 
   private List<DeploymentConfig.Service> services() {
@@ -70,7 +67,7 @@
   private void allocate(
       DeploymentConfig.Service service,
       Map<String, Submission> newest,
-      Map<String, List<Engine>> enginesByModel) {
+      Map<ServedModel, List<Engine>> allocated) {
     List<Engine> engines = registry.availableEnginesOf(service.name());
     double averageTokens =
         service.models().stream()
@@ -92,7 +89,9 @@
         EngineShares.divide(engines.stream().map(Engine::id).toList(), demand);
     for (String model : service.models()) {
       Set<String> ids = allocation.engines(model);
-      enginesByModel.put(model, engines.stream().filter(e -> ids.contains(e.id())).toList());
+      allocated.put(
+          new ServedModel(service.name(), model),
+          engines.stream().filter(e -> ids.contains(e.id())).toList());
     }
   }
 }
--- a/server/src/main/java/org/marigoldmill/server/batch/RolloutScheduler.java
+++ b/server/src/main/java/org/marigoldmill/server/batch/RolloutScheduler.java
@@ -25,6 +25,8 @@
 import org.marigoldmill.schema.submission.RolloutItem;
 import org.marigoldmill.schema.submission.Submission;
 import org.marigoldmill.server.Clock;
+import org.marigoldmill.server.batch.EngineAllocation.ServedModel;
+import org.marigoldmill.server.deployment.DeploymentState;
 import org.marigoldmill.server.deployment.RegionRules;
 import org.marigoldmill.server.duty.FleetLog;
 
@@ -51,11 +53,30 @@
    * @param minVersion oldest version of the weights that all of them accept; 0 if none waits
    * @param singleVersion whether at least one of them must not mix versions
    */
-  record Backlog(int waitingItems, long minVersion, boolean singleVersion) {}
+  record Backlog(int waitingItems, long minVersion, boolean singleVersion) {
+    static final Backlog NONE = new Backlog(0, 0, false);
+
+    private static Backlog of(List<Submission> waiting) {
+      return new Backlog(
+          waiting.size(),
+          waiting.stream().mapToLong(Submission::getMinVersion).max().orElse(0),
+          waiting.stream().anyMatch(Submission::getSingleVersion));
+    }
+  }
+
+  /** What runs have in common that can take each other's places. */
+  private record RunGroup(ServedModel served, String software) {
+    private static RunGroup of(ItemTask task) {
+      return new RunGroup(
+          new ServedModel(task.engineService(), task.submission().getModel()),
+          task.engineSoftware());
+    }
+  }
 
   private final SubmissionPartitions partitions;
   private final RolloutMembership membership;
   private final ModelEngineAllocator allocator;
+  private final DeploymentState deployment;
   private final RegionRules regions;
   private final EngineLoads loads;
   private final RunLengths lengths;
@@ -84,6 +105,7 @@
       SubmissionPartitions partitions,
       RolloutMembership membership,
       ModelEngineAllocator allocator,
+      DeploymentState deployment,
       RegionRules regions,
       EngineLoads loads,
       RunLengths lengths,
@@ -98,6 +120,7 @@
     this.partitions = partitions;
     this.membership = membership;
     this.allocator = allocator;
+    this.deployment = deployment;
     this.regions = regions;
     this.loads = loads;
     this.lengths = lengths;
@@ -151,30 +174,34 @@
     moveSlowRuns();
   }
 
-  /** Returns the items that wait for the engines of a model. */
-  synchronized Backlog backlog(String model) {
-    List<Submission> waiting =
-        tasks.values().stream()
-            .filter(t -> !t.running() && t.submission().getModel().equals(model))
-            .map(ItemTask::submission)
-            .toList();
-    return new Backlog(
-        waiting.size(),
-        waiting.stream().mapToLong(Submission::getMinVersion).max().orElse(0),
-        waiting.stream().anyMatch(Submission::getSingleVersion));
+  /** Returns the items that wait, by the engines that they wait for. */
+  synchronized Map<ServedModel, Backlog> backlogs(EngineAllocation engines) {
+    ItemRouter router = new ItemRouter(deployment.config(), engines);
+    return tasks.values().stream()
+        .filter(t -> !t.running())
+        .flatMap(t -> router.route(t).map(s -> Map.entry(s, t.submission())).stream())
+        .collect(
+            Collectors.groupingBy(
+                Map.Entry::getKey,
+                Collectors.mapping(
+                    Map.Entry::getValue,
+                    Collectors.collectingAndThen(Collectors.toList(), Backlog::of))));
   }
 
   /**
-   * Returns the work of the open items of a model, by submission.
+   * Returns the work of the open items of a model at a service, by submission.
    *
    * @param msPerToken slot time of an item for an expected token, in milliseconds
    * @param nowUnixMs current time by the wall clock, in Unix milliseconds
    */
-  synchronized List<EngineNeed.Work> openWork(String model, double msPerToken, long nowUnixMs) {
+  synchronized List<EngineNeed.Work> openWork(
+      ServedModel served, EngineAllocation engines, double msPerToken, long nowUnixMs) {
     long now = clock.now();
+    ItemRouter router = new ItemRouter(deployment.config(), engines);
     Map<Submission, Double> slotMs =
         tasks.values().stream()
-            .filter(t -> !t.cancelled() && t.submission().getModel().equals(model))
+            .filter(t -> !t.cancelled() && t.submission().getModel().equals(served.model()))
+            .filter(t -> router.route(t).filter(served::equals).isPresent())
             .collect(
                 Collectors.groupingBy(
                     ItemTask::submission,
@@ -263,26 +290,32 @@
     if (ready.isEmpty() || upstreamsLost.getAsBoolean()) {
       return;
     }
-    Map<String, List<Engine>> engines = allocator.enginesByModel();
+    EngineAllocation engines = allocator.allocation();
+    ItemRouter router = new ItemRouter(deployment.config(), engines);
     Set<String> atLimit = new HashSet<>();
     for (ItemTask task : ready) {
-      Continuation.Choice choice = choose(task, engines, now);
+      Continuation.Choice choice = choose(task, router.route(task), engines, now);
       acquire(choice.engines(), atLimit, now).ifPresent(e -> startAttempt(task, e));
     }
   }
 
   private Continuation.Choice choose(
-      ItemTask task, Map<String, List<Engine>> enginesByModel, long now) {
+      ItemTask task, Optional<ServedModel> routed, EngineAllocation engines, long now) {
+    if (routed.isEmpty()) {
+      return new Continuation.Choice(List.of(), false);
+    }
+    ServedModel served = routed.get();
     Submission submission = task.submission();
     AllowedZones zones = regions.zones(submission, task.item());
-    List<Engine> allocated =
-        within(zones, enginesByModel.getOrDefault(submission.getModel(), List.of()));
-    Optional<String> begunWith = task.text().softwareVersion();
+    List<Engine> allocated = within(zones, engines.of(served));
+    Optional<String> begunWith =
+        task.text()
+            .softwareVersion()
+            .filter(v -> task.textService().filter(served.service()::equals).isPresent());
     List<Engine> others =
         begunWith.isEmpty()
             ? List.of()
-            : enginesByModel.values().stream()
-                .flatMap(List::stream)
+            : engines.ofService(served.service()).stream()
                 .filter(e -> !allocated.contains(e) && zones.includes(e.zone()))
                 .toList();
     return Continuation.choose(
@@ -349,27 +382,26 @@
       return;
     }
     lastMoveCheckMs = now;
-    Map<String, List<ItemTask>> byModel =
+    Map<RunGroup, List<ItemTask>> running =
         tasks.values().stream()
             .filter(ItemTask::running)
-            .collect(Collectors.groupingBy(t -> t.submission().getModel()));
-    if (byModel.isEmpty()) {
+            .collect(Collectors.groupingBy(RunGroup::of));
+    if (running.isEmpty()) {
       return;
     }
-    Map<String, List<Engine>> engines = allocator.enginesByModel();
-    byModel.forEach(
-        (model, running) -> {
-          if (backlog(model).waitingItems() == 0) {
-            List<Engine> allocated = engines.getOrDefault(model, List.of());
-            running.stream()
-                .collect(Collectors.groupingBy(ItemTask::engineSoftware))
-                .forEach((software, runs) -> moveSlowRuns(model, software, runs, allocated, now));
+    EngineAllocation engines = allocator.allocation();
+    Map<ServedModel, Backlog> backlogs = backlogs(engines);
+    running.forEach(
+        (group, runs) -> {
+          if (backlogs.getOrDefault(group.served(), Backlog.NONE).waitingItems() == 0) {
+            moveSlowRuns(group, runs, engines.of(group.served()), now);
           }
         });
   }
 
   private void moveSlowRuns(
-      String model, String software, List<ItemTask> running, List<Engine> engines, long now) {
+      RunGroup group, List<ItemTask> running, List<Engine> engines, long now) {
+    String model = group.served().model();
     long minVersion =
         running.stream().mapToLong(t -> t.submission().getMinVersion()).max().orElse(0);
     List<AllowedZones> zones =
@@ -383,7 +415,7 @@
             .filter(e -> !versions.loading(e.id(), model, now))
             .filter(e -> versions.expectedVersion(e.id(), model, now) >= minVersion)
             .filter(e -> !limits.isLimited(e.id()) && !limits.isCold(e.id(), now))
-            .filter(e -> e.softwareVersion().equals(software))
+            .filter(e -> e.softwareVersion().equals(group.software()))
             .map(
                 e ->
                     new MovePolicy.Room(
@@ -415,23 +447,25 @@
             });
   }
 
-  private void logAndRestart(ItemTask task, String before, Engine engine) {
+  private void logAndRestart(ItemTask task, Engine engine) {
     logger.atInfo().log(
-        "item restarted id=%s engine=%s software=%s before=%s waited_ms=%d last_event=%s",
+        "item restarted id=%s engine=%s software=%s before=%s service=%s service_before=%s"
+            + " waited_ms=%d last_event=%s",
         task.item().getId(),
         engine.id(),
         engine.softwareVersion(),
-        before,
+        task.engineSoftware(),
+        engine.service(),
+        task.engineService(),
         task.waitedMs(clock.now()),
         task.text().lastEventId());
     task.text().restart();
   }
 
   private void startAttempt(ItemTask task, Engine engine) {
-    task.text()
-        .softwareVersion()
-        .filter(v -> !v.equals(engine.softwareVersion()))
-        .ifPresent(v -> logAndRestart(task, v, engine));
+    if (task.mustRestartAt(engine)) {
+      logAndRestart(task, engine);
+    }
     task.startAttempt(engine, clock.now());
     logger.atFine().log("item started id=%s engine=%s", task.item().getId(), engine.id());
     try {
--- a/server/src/main/java/org/marigoldmill/server/batch/Rollouts.java
+++ b/server/src/main/java/org/marigoldmill/server/batch/Rollouts.java
@@ -68,6 +68,7 @@
             partitions,
             membership,
             allocator,
+            deployment,
             regions,
             loads,
             lengths,
--- a/server/src/main/java/org/marigoldmill/server/batch/WeightPlanner.java
+++ b/server/src/main/java/org/marigoldmill/server/batch/WeightPlanner.java
@@ -11,6 +11,7 @@
 import org.marigoldmill.core.weights.LoadAnnouncements;
 import org.marigoldmill.core.weights.WeightPlan;
 import org.marigoldmill.server.Clock;
+import org.marigoldmill.server.batch.EngineAllocation.ServedModel;
 import org.marigoldmill.server.deployment.DeploymentState;
 import org.marigoldmill.server.duty.FleetLog;
 import org.marigoldmill.server.store.LogStore;
@@ -27,7 +28,7 @@
   private final DeploymentState deployment;
   private final FleetLog fleet;
   private final Clock clock;
-  private final Map<String, LoadAnnouncements> announcementsByModel = new HashMap<>();
+  private final Map<ServedModel, LoadAnnouncements> announcements = new HashMap<>();
 
   WeightPlanner(
       RolloutScheduler scheduler,
@@ -50,21 +51,27 @@
 
   /** Requests the loads that are wanted now; meant to be called periodically. */
   void requestWantedLoads() {
-    announcementsByModel.keySet().removeIf(m -> !scheduler.active() || !membership.ownsModel(m));
+    announcements.keySet().removeIf(s -> !scheduler.active() || !membership.ownsModel(s.model()));
     if (!scheduler.active()) {
       return;
     }
-    allocator
-        .enginesByModel()
+    EngineAllocation allocation = allocator.allocation();
+    Map<ServedModel, RolloutScheduler.Backlog> backlogs = scheduler.backlogs(allocation);
+    allocation
+        .engines()
         .forEach(
-            (model, engines) -> {
+            (served, engines) -> {
+              String model = served.model();
               if (membership.ownsModel(model) && deployment.announcedVersion(model) > 0) {
-                publish(model, engines, requiredLoads(model, engines));
+                RolloutScheduler.Backlog backlog =
+                    backlogs.getOrDefault(served, RolloutScheduler.Backlog.NONE);
+                publish(served, engines, requiredLoads(model, engines, backlog));
               }
             });
   }
 
-  private List<WeightPlan.Load> requiredLoads(String model, List<Engine> engines) {
+  private List<WeightPlan.Load> requiredLoads(
+      String model, List<Engine> engines, RolloutScheduler.Backlog backlog) {
     long now = clock.now();
     List<WeightPlan.EngineState> places =
         engines.stream()
@@ -76,7 +83,6 @@
                         versions.loading(e.id(), model, now),
                         loads.runningRequests(e.id())))
             .toList();
-    RolloutScheduler.Backlog backlog = scheduler.backlog(model);
     WeightPlan.Demand demand =
         new WeightPlan.Demand(
             model,
@@ -88,11 +94,11 @@
   }
 
   /** Publishes what has changed; a withdrawal for an engine that is gone is not needed. */
-  private void publish(String model, List<Engine> engines, List<WeightPlan.Load> required) {
+  private void publish(ServedModel served, List<Engine> engines, List<WeightPlan.Load> required) {
     long now = clock.now();
-    LoadAnnouncements announcements =
-        announcementsByModel.computeIfAbsent(model, m -> new LoadAnnouncements());
-    List<WeightPlan.Load> due = announcements.due(required, now);
+    LoadAnnouncements announced =
+        announcements.computeIfAbsent(served, s -> new LoadAnnouncements());
+    List<WeightPlan.Load> due = announced.due(required, now);
     Map<String, Long> incarnations =
         engines.stream().collect(Collectors.toMap(Engine::id, Engine::incarnation));
     List<FleetLog.WantedLoad> wanted =
@@ -101,7 +107,7 @@
             .map(l -> new FleetLog.WantedLoad(l, incarnations.get(l.engine())))
             .toList();
     if (wanted.isEmpty() || fleet.publishWantedLoads(wanted) == LogStore.AppendOutcome.STORED) {
-      announcements.recordPublished(due, now);
+      announced.recordPublished(due, now);
     }
     wanted.forEach(w -> logger.atInfo().log("load wanted %s", w.load()));
   }
