A stream is not taken for one of the only version that is listed

Cause: as long as an instance knew no default version of a service, it took the only version that was listed since its own start for that of every stream without a record. After a kill of all instances that is the newer version, if the engines of the older one have left meanwhile; the default version may just not have been read yet, as nothing waits for it at start. For the same reason the first streams of a service were not recorded, so they could not be told apart later. And an instance that had not noted its engines yet took the default version for gone, and let streams of another one begin without a record when the store refused it.

Change: only the default version, read first if it is overdue, stands for streams without a record; without one they are refused as not run. Streams are recorded until it is known. The engines that are listed still decide whether a stream may begin when the store is silent.

should_not_be_needed_while_a_service_has_one_version asked for no records without a default, which is the fault. In its place: none once the default has settled (as before), and records without a default that keep nothing from beginning.

--- a/core/src/main/java/org/marigoldmill/core/continuation/ServiceVersions.java
+++ b/core/src/main/java/org/marigoldmill/core/continuation/ServiceVersions.java
@@ -23,7 +23,7 @@
   public static final long MAX_STREAM_MS = 60_000;
 
   /** Time by which instances may see the same change sooner or later, in milliseconds. */
-  private static final long AGREEMENT_MS = 15_000;
+  static final long AGREEMENT_MS = 15_000;
 
   private static final class Service {
     private Optional<String> defaultVersion = Optional.empty();
@@ -78,31 +78,35 @@
   public synchronized boolean mustRecord(String service, String version, long nowMs) {
     Service state = service(service);
     boolean settled = nowMs - state.defaultSinceMs > AGREEMENT_MS;
-    return !(state.defaultVersion.equals(Optional.of(version)) && settled)
-        && !isOnlyVersion(state, version);
+    return !(state.defaultVersion.equals(Optional.of(version)) && settled);
   }
 
   /**
    * Returns whether a stream may begin with a version although its record cannot be stored.
    *
    * <p>Without an engine of the default version, a missing record cannot make another version
-   * continue the stream; it then cannot be resumed.
+   * continue the stream; it then cannot be resumed. As long as there is no default version, a
+   * stream without a record is continued by none.
    */
   public synchronized boolean mayBeginUnrecorded(String service, String version, long nowMs) {
     Service state = service(service);
-    boolean fitsDefault =
-        state
-            .defaultVersion
-            .filter(d -> d.equals(version) || !state.listed.contains(d))
-            .isPresent();
-    return fitsDefault || !mustRecord(service, version, nowMs);
+    boolean defaultGone =
+        !state.listed.isEmpty()
+            && state.defaultVersion.filter(d -> !state.listed.contains(d)).isPresent();
+    return defaultGone
+        || state.defaultVersion.equals(Optional.of(version))
+        || isOnlyVersion(state, version)
+        || !mustRecord(service, version, nowMs);
   }
 
-  /** Returns the version of a stream without a record, or empty if that cannot be said. */
+  /**
+   * Returns the version of a stream without a record, or empty if that cannot be said.
+   *
+   * <p>The versions that are listed do not tell it: the engines that began the stream may have left
+   * before this process started.
+   */
   public synchronized Optional<String> versionWithoutRecord(String service) {
-    Service state = service(service);
-    return state.defaultVersion.or(
-        () -> state.listed.stream().filter(v -> isOnlyVersion(state, v)).findFirst());
+    return service(service).defaultVersion;
   }
 
   /** Returns whether no other version has been listed as long as this process remembers. */
--- a/core/src/test/java/org/marigoldmill/core/continuation/ServiceVersionsTest.java
+++ b/core/src/test/java/org/marigoldmill/core/continuation/ServiceVersionsTest.java
@@ -125,13 +125,33 @@
     private final ServiceVersions versions = new ServiceVersions(0);
 
     @Test
-    void should_not_be_needed_while_a_service_has_one_version() {
+    void should_not_be_needed_for_the_default_once_all_instances_know_it() {
       versions.recordListed(SERVICE, Set.of("v1"), 1_000);
-      assertThat(versions.mustRecord(SERVICE, "v1", 1_000)).isFalse();
       versions.recordDefault(SERVICE, "v1", 1_000);
+      assertThat(versions.mustRecord(SERVICE, "v1", 2_000)).isTrue();
       assertThat(versions.mustRecord(SERVICE, "v1", 100_000)).isFalse();
     }
 
+    @Test
+    void should_be_needed_without_a_default_but_not_keep_the_only_version_from_beginning() {
+      versions.recordListed(SERVICE, Set.of("v1"), 1_000);
+      assertThat(versions.mustRecord(SERVICE, "v1", 1_000)).isTrue();
+      assertThat(versions.mayBeginUnrecorded(SERVICE, "v1", 1_000)).isTrue();
+    }
+
+    /** Streams of an older version went on at the only one that was left after a restart. */
+    @Test
+    void should_not_be_replaced_by_the_only_version_listed_when_there_is_no_default() {
+      versions.recordListed(SERVICE, Set.of("v2"), 1_000);
+      assertThat(versions.versionWithoutRecord(SERVICE)).isEmpty();
+    }
+
+    @Test
+    void should_not_be_left_out_before_the_engines_are_known() {
+      versions.recordDefault(SERVICE, "v1", 1_000);
+      assertThat(versions.mayBeginUnrecorded(SERVICE, "v2", 1_000)).isFalse();
+    }
+
     @Test
     void should_be_needed_for_a_version_beside_the_default() {
       versions.recordDefault(SERVICE, "v1", 1_000);
--- a/server/src/main/java/org/marigoldmill/server/gateway/StreamOrigins.java
+++ b/server/src/main/java/org/marigoldmill/server/gateway/StreamOrigins.java
@@ -157,11 +157,18 @@
     }
     return partition
         .get(stream.get())
-        .or(() -> versions.versionWithoutRecord(service))
+        .or(() -> defaultVersion(service))
         .map(Begin::of)
         .orElseGet(Begin::unknown);
   }
 
+  /** Returns the default version, which a process that has just started may not have read yet. */
+  private Optional<String> defaultVersion(String service) {
+    return defaults.overdueMs() == 0 || defaults.catchUp()
+        ? versions.versionWithoutRecord(service)
+        : Optional.empty();
+  }
+
   private void publishDefault(String service, String version) {
     byte[] value = DefaultSoftware.newBuilder().setSoftwareVersion(version).build().toByteArray();
     KeyedRecord appended = new KeyedRecord(service, Optional.of(value));
