Streams keep their software version when the store forgets its history

Instances that knew it from memory were dead, and StreamOrigins ignored that records were missing: a stream without one counts as begun with the default version. The same happened without a kill beyond 10,000 streams of a partition, when the oldest was dropped from memory.

Change: the records go to the keyed topic stream-software, of which the store keeps the newest record of each key for good, and also to the topic streams, which a former build reads; both are read. StreamTable keeps a stream in memory until nobody resumes it. StreamRecordsTest compares all topics but the new one, which the last landed build does not have.

Streams begun through instances of a former build stay exposed until that build is gone.

--- a/cli/src/test/java/org/marigoldmill/cli/deployment/SoftwareVersionsIT.java
+++ b/cli/src/test/java/org/marigoldmill/cli/deployment/SoftwareVersionsIT.java
@@ -184,4 +184,63 @@
       }
     }
   }
+
+  private HttpResponse takeUp(int instance, String begun) {
+    return stream(
+        instance,
+        "/gen/x",
+        "again-" + begun,
+        new Header("Last-Event-Id", "4"),
+        new Header("Resumes", begun));
+  }
+
+  private static boolean ran(EngineStandin engine, String request) {
+    return engine.startedRequests().contains(request);
+  }
+
+  /** Begins streams at both versions; returns their ids. */
+  private List<String> begin() {
+    List<String> begun =
+        IntStream.range(0, 2 * STREAMS)
+            .mapToObj(i -> "begun-" + i)
+            .peek(id -> assertThat(stream(0, "/gen/x", id).status()).isEqualTo(200))
+            .toList();
+    assertThat(begun).anyMatch(id -> ran(newer, id)).anyMatch(id -> ran(cluster.engine, id));
+    return begun;
+  }
+
+  @Nested
+  class AfterAllInstancesWereKilled {
+    /** Streams of the newer version went on at the older one: their records were forgotten. */
+    @Test
+    void should_go_on_at_the_version_that_began_them_when_the_store_has_forgotten_its_history() {
+      // GIVEN
+      List<String> begun = begin();
+      // WHEN
+      cluster.killInstances();
+      cluster.store.forgetHistory();
+      cluster.startInstances("one", "two");
+      // THEN
+      for (String id : begun) {
+        assertThat(takeUp(1, id).status()).isEqualTo(200);
+        assertThat(ran(newer, "again-" + id)).isEqualTo(ran(newer, id));
+        assertThat(ran(cluster.engine, "again-" + id)).isEqualTo(ran(cluster.engine, id));
+      }
+    }
+
+    @Test
+    void should_be_refused_when_the_engines_that_began_them_have_left_meanwhile() {
+      // GIVEN
+      List<String> begun = begin();
+      // WHEN
+      cluster.killInstances();
+      cluster.store.put("servers", "e-1", null);
+      cluster.startInstances("one", "two");
+      // THEN
+      for (String id : begun) {
+        assertThat(takeUp(1, id).status()).isEqualTo(ran(newer, id) ? 200 : 503);
+        assertThat(ran(newer, "again-" + id)).isEqualTo(ran(newer, id));
+      }
+    }
+  }
 }
--- a/cli/src/test/java/org/marigoldmill/cli/deployment/StoreStandin.java
+++ b/cli/src/test/java/org/marigoldmill/cli/deployment/StoreStandin.java
@@ -33,6 +33,9 @@
   private static final Pattern ADDRESS = Pattern.compile("\"address\":\"(.*?)\"");
   private static final long MEMBER_TTL_MS = 1_500;
 
+  /** Longer than a caller of the store waits for an answer. */
+  private static final long SILENCE_MS = 30_000;
+
   /** What happens to the calls of instances. */
   public enum Condition {
     SERVING,
@@ -43,6 +46,7 @@
   }
 
   private final Map<String, List<byte[]>> partitions = new ConcurrentHashMap<>();
+  private final Map<String, Integer> firstOffsets = new ConcurrentHashMap<>();
   private final Map<String, Integer> waitingReads = new TreeMap<>();
   private final Map<String, Integer> peakWaitingReads = new TreeMap<>();
   private final Map<String, Long> members = new TreeMap<>();
@@ -70,11 +74,33 @@
     return view.address();
   }
 
+  /** Returns an address at which reads that wait for news of upstreams are not answered. */
+  public String addressWithSilentNewsOfUpstreams() {
+    HttpServer view = serve(WORKERS, UnaryOperator.identity(), this::readUnlessNewsOfUpstreams);
+    views.add(view);
+    return view.address();
+  }
+
+  private HttpResponse readUnlessNewsOfUpstreams(HttpServer.Request request) {
+    boolean news =
+        request.query("topic").filter(UPSTREAM_TOPIC::equals).isPresent()
+            && request.queryLong("wait_ms", 0) > 0;
+    if (news) {
+      ProcessCluster.pause(SILENCE_MS);
+    }
+    return read(request, UnaryOperator.identity());
+  }
+
   private HttpServer serve(int workers, UnaryOperator<byte[]> upstreamView) {
+    return serve(workers, upstreamView, r -> read(r, viewOf(r, upstreamView)));
+  }
+
+  private HttpServer serve(
+      int workers, UnaryOperator<byte[]> upstreamView, HttpServer.RouteHandler read) {
     return HttpServer.forAddress("127.0.0.1:0")
         .workerThreads(workers)
         .post("/-/log-append", subjectToCondition(this::appendAfterDelay))
-        .get("/-/log-read", subjectToCondition(r -> read(r, viewOf(r, upstreamView))))
+        .get("/-/log-read", subjectToCondition(read))
         .get("/-/log-newest", subjectToCondition(r -> newest(r, viewOf(r, upstreamView))))
         .post("/-/log-join", subjectToCondition(this::joinGroup))
         .post("/-/log-leave", subjectToCondition(this::leaveGroup))
@@ -172,6 +198,11 @@
     }
   }
 
+  /** Deletes all records but the newest of each key in keyed topics. */
+  void forgetHistory() {
+    partitions.forEach((name, log) -> firstOffsets.put(name, log.size()));
+  }
+
   /** Returns how many reads of a topic waited at the same time since the last call. */
   synchronized int takePeakWaitingReads(String topic) {
     Integer peak = peakWaitingReads.put(topic, waitingReads.getOrDefault(topic, 0));
@@ -213,6 +244,10 @@
     int from = (int) request.queryLong("from", 0);
     long until = System.currentTimeMillis() + request.queryLong("wait_ms", 0);
     String topic = request.query("topic").orElseThrow();
+    int first = firstOffsets.getOrDefault(topic + "/" + request.queryLong("part", 0), 0);
+    if (from < first) {
+      return json(410, MAPPER.createObjectNode().put("first", first));
+    }
     countWaitingReads(topic, 1);
     try {
       synchronized (log) {
--- a/server/src/main/java/org/marigoldmill/server/DeploymentInstance.java
+++ b/server/src/main/java/org/marigoldmill/server/DeploymentInstance.java
@@ -82,6 +82,7 @@
   private static final long DISCONNECT_CHECK_INTERVAL_MS = 100;
   private static final long EXPIRY_INTERVAL_MS = 5_000;
   private static final long LIMIT_REPORT_INTERVAL_MS = 250;
+  private static final long ORIGINS_REMOVAL_INTERVAL_MS = 30_000;
   private static final long ORIGINS_INTERVAL_MS = 1_000;
   private static final long DIRECTORY_INTERVAL_MS = 250;
   private static final long HANDOVER_INTERVAL_MS = 200;
@@ -534,6 +535,14 @@
         ORIGINS_INTERVAL_MS,
         "origins",
         () -> origins.update(lease.remainsHeldFor(ORIGINS_INTERVAL_MS)));
+    startTask(
+        ORIGINS_REMOVAL_INTERVAL_MS,
+        "origins-removal",
+        () -> {
+          if (lease.remainsHeldFor(ORIGINS_INTERVAL_MS) && deployment.hasResumableRoutes()) {
+            origins.removeExpiredRecords();
+          }
+        });
     startTask(EXPIRY_INTERVAL_MS, "expiry", this::expireSubmissions);
     startTask(DISCONNECT_CHECK_INTERVAL_MS, "caller-watch", gateway::detectDisconnects);
     if (settings.getOrderEngines()) {
--- a/server/src/main/java/org/marigoldmill/server/deployment/DeploymentState.java
+++ b/server/src/main/java/org/marigoldmill/server/deployment/DeploymentState.java
@@ -10,6 +10,7 @@
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.function.Consumer;
 import org.marigoldmill.core.route.DeploymentConfig;
+import org.marigoldmill.core.route.Route;
 import org.marigoldmill.server.store.PartitionFollower;
 import org.marigoldmill.server.store.StoredRecord;
 
@@ -57,6 +58,11 @@
     return config;
   }
 
+  /** Returns whether callers may resume streams of any route. */
+  public boolean hasResumableRoutes() {
+    return config().filter(c -> c.routes().stream().anyMatch(Route::resumable)).isPresent();
+  }
+
   /** Returns the newest announced version of a model, or 0 if there is none. */
   public long announcedVersion(String model) {
     return announcedVersions.getOrDefault(model, 0L);
--- a/server/src/main/java/org/marigoldmill/server/gateway/StreamOrigins.java
+++ b/server/src/main/java/org/marigoldmill/server/gateway/StreamOrigins.java
@@ -12,7 +12,9 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.UUID;
 import org.marigoldmill.core.continuation.ServiceVersions;
+import org.marigoldmill.core.continuation.StreamTable;
 import org.marigoldmill.core.submission.KeyedRecord;
 import org.marigoldmill.schema.fleet.DefaultSoftware;
 import org.marigoldmill.schema.fleet.StreamOrigin;
@@ -28,14 +30,24 @@
  * stream at another instance.
  *
  * <p>The default versions of the services are followed; the records of streams are read only when
- * one is looked up.
+ * one is looked up, and by the holder of the duty lease, which removes those that nobody needs.
  */
 public final class StreamOrigins {
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
   private static final Topic DEFAULTS = new Topic("software", true);
-  private static final Topic STREAMS = new Topic("streams", false);
+
+  /** Keyed, because the store may forget the history of other topics at any time. */
+  private static final Topic STREAMS = new Topic("stream-software", true);
+
+  /** The only records of streams that former builds read and write. */
+  private static final Topic FORMER_STREAMS = new Topic("streams", false);
+
   private static final long DEFAULTS_READ_WAIT_MS = 10_000;
-  private static final int MAX_STREAMS_PER_PARTITION = 10_000;
+
+  /** Keys of the store have at most 255 bytes. */
+  private static final int MAX_KEY_BYTES = 200;
+
+  private static final int MAX_REMOVALS = 500;
 
   /** Where a stream may be continued. */
   enum Origin {
@@ -90,6 +102,7 @@
     registry
         .softwareVersions()
         .forEach((service, counts) -> update(service, counts, publishDefaults));
+    partitions.forEach(Streams::expire);
   }
 
   private void update(String service, Map<String, Integer> counts, boolean publishDefaults) {
@@ -101,6 +114,11 @@
     }
   }
 
+  /** Removes the records of streams that nobody resumes; called by one instance, now and then. */
+  public void removeExpiredRecords() {
+    partitions.forEach(Streams::removeExpiredRecords);
+  }
+
   /**
    * Stores with which version a stream begins, if that is needed.
    *
@@ -114,14 +132,7 @@
     Streams partition = partition(stream);
     StreamOrigin origin =
         StreamOrigin.newBuilder().setStream(stream).setSoftwareVersion(version).build();
-    LogStore.AppendOutcome outcome =
-        store
-            .append(
-                STREAMS,
-                partition.number,
-                OptionalLong.empty(),
-                List.of(KeyedRecord.unkeyed(origin.toByteArray())))
-            .outcome();
+    LogStore.AppendOutcome outcome = partition.append(origin);
     if (outcome == LogStore.AppendOutcome.STORED) {
       partition.put(stream, version);
       return true;
@@ -152,7 +163,7 @@
     if (recorded.isPresent()) {
       return Begin.of(recorded.get());
     }
-    if (!partition.follower.catchUp()) {
+    if (!partition.catchUp()) {
       return Begin.unknown();
     }
     return partition
@@ -202,29 +213,80 @@
     }
   }
 
-  /** The newest streams of a partition. */
+  private static String key(String stream) {
+    byte[] bytes = stream.getBytes(UTF_8);
+    return bytes.length <= MAX_KEY_BYTES ? stream : "hash-" + UUID.nameUUIDFromBytes(bytes);
+  }
+
+  /** The streams of a partition that callers may resume. */
   private final class Streams implements PartitionFollower.Sink {
     private final int number;
     private final PartitionFollower follower;
-    private final Map<String, String> versionByStream =
-        new LinkedHashMap<>() {
-          @Override
-          protected boolean removeEldestEntry(Map.Entry<String, String> eldest) {
-            return size() > MAX_STREAMS_PER_PARTITION;
-          }
-        };
+    private final PartitionFollower formerFollower;
+    private final StreamTable table = new StreamTable();
+
+    /** Keys of the records that are stored, with the time when this process read them. */
+    private final Map<String, Long> storedSinceMs = new LinkedHashMap<>();
 
     private Streams(int number) {
       this.number = number;
       this.follower = new PartitionFollower(store, STREAMS, number, 0, 0, this, clock);
+      this.formerFollower = new PartitionFollower(store, FORMER_STREAMS, number, 0, 0, this, clock);
+    }
+
+    /** Stores a record for instances of this build, and one for those of a former build. */
+    private LogStore.AppendOutcome append(StreamOrigin origin) {
+      byte[] value = origin.toByteArray();
+      KeyedRecord keyed = new KeyedRecord(key(origin.getStream()), Optional.of(value));
+      LogStore.AppendOutcome outcome = append(STREAMS, List.of(keyed));
+      return outcome == LogStore.AppendOutcome.STORED
+          ? append(FORMER_STREAMS, List.of(KeyedRecord.unkeyed(value)))
+          : outcome;
+    }
+
+    private LogStore.AppendOutcome append(Topic topic, List<KeyedRecord> records) {
+      return store.append(topic, number, OptionalLong.empty(), records).outcome();
+    }
+
+    private boolean catchUp() {
+      return follower.catchUp() && formerFollower.catchUp();
     }
 
     private synchronized Optional<String> get(String stream) {
-      return Optional.ofNullable(versionByStream.get(stream));
+      return table.version(stream);
     }
 
     private synchronized void put(String stream, String version) {
-      versionByStream.put(stream, version);
+      table.put(stream, version, clock.now());
+    }
+
+    /** Also forgets records that another instance has long removed, if this one does not read. */
+    private synchronized void expire() {
+      long now = clock.now();
+      table.removeExpired(now);
+      storedSinceMs.values().removeIf(since -> now - since > 2 * StreamTable.KEPT_MS);
+    }
+
+    /** Goes by the time of reading, as clocks of writers may differ. */
+    private void removeExpiredRecords() {
+      if (!follower.catchUp()) {
+        return;
+      }
+      List<KeyedRecord> removals = removals(clock.now());
+      if (!removals.isEmpty()) {
+        LogStore.AppendOutcome outcome = append(STREAMS, removals);
+        logger.atInfo().log(
+            "stream records removed partition=%d count=%d outcome=%s",
+            number, removals.size(), outcome);
+      }
+    }
+
+    private synchronized List<KeyedRecord> removals(long nowMs) {
+      return storedSinceMs.entrySet().stream()
+          .filter(e -> nowMs - e.getValue() > StreamTable.KEPT_MS)
+          .limit(MAX_REMOVALS)
+          .map(e -> new KeyedRecord(e.getKey(), Optional.empty()))
+          .toList();
     }
 
     /** Keeps what is known, because a record never changes. */
@@ -232,9 +294,16 @@
     public void reset() {}
 
     @Override
-    public void apply(StoredRecord stored) {
+    public synchronized void apply(StoredRecord stored) {
+      if (stored.value().isEmpty()) {
+        storedSinceMs.remove(stored.key());
+        return;
+      }
+      if (!stored.key().isEmpty()) {
+        storedSinceMs.putIfAbsent(stored.key(), clock.now());
+      }
       try {
-        StreamOrigin origin = StreamOrigin.parseFrom(stored.value().orElseThrow());
+        StreamOrigin origin = StreamOrigin.parseFrom(stored.value().get());
         put(origin.getStream(), origin.getSoftwareVersion());
       } catch (InvalidProtocolBufferException e) {
         throw new IllegalArgumentException("malformed stream origin: " + e.getMessage(), e);
--- a/server/src/test/java/org/marigoldmill/server/gateway/StreamRecordsTest.java
+++ b/server/src/test/java/org/marigoldmill/server/gateway/StreamRecordsTest.java
@@ -15,6 +15,9 @@
   private static final String SERVICE = RegisteredEngine.SERVICE;
   private static final int PARTITIONS = 12;
 
+  /** The last landed build neither reads nor writes it. */
+  private static final String NEW_TOPIC = "stream-software";
+
   private final AtomicLong nowMs = new AtomicLong(10_000);
 
   private StreamOrigins origins(MemoryStore store) {
@@ -37,7 +40,8 @@
     writer.follower().catchUp();
     assertThat(writer.recordBegin(SERVICE, "stream", "v2")).isTrue();
     // WHEN
-    StreamOrigins reader = origins(LastBuild.assertReadAlike("streams.txt", written));
+    StreamOrigins reader =
+        origins(LastBuild.assertReadAlike("streams.txt", written.withoutTopic(NEW_TOPIC)));
     // THEN
     assertThat(reader.begin(SERVICE, Optional.of("stream")).softwareVersion()).contains("v2");
     assertThat(reader.begin(SERVICE, Optional.of("other")).softwareVersion())
--- a/server/src/test/java/org/marigoldmill/server/store/MemoryStore.java
+++ b/server/src/test/java/org/marigoldmill/server/store/MemoryStore.java
@@ -27,6 +27,23 @@
     return List.copyOf(groups);
   }
 
+  /** Returns a store of the same partitions but those of a topic. */
+  public synchronized MemoryStore withoutTopic(String name) {
+    MemoryStore store = new MemoryStore();
+    partitions.forEach(
+        (partition, log) -> {
+          if (!partition.topic().name().equals(name)) {
+            store.partitions.put(partition, log);
+          }
+        });
+    return store;
+  }
+
+  /** Trims the history of all partitions; the latest record of each key stays. */
+  public synchronized void forgetHistory() {
+    partitions.values().forEach(FaultyStore::trim);
+  }
+
   @Override
   public AppendResult append(
       Topic topic, int partition, OptionalLong expectedEndOffset, List<KeyedRecord> records) {
