A stream that is taken up goes on at engines as the store lists them now

Cause: the version of a stream was read from the store for each stream that is taken up, but the engines of that version were chosen by the list as last heard, which may be older by a wait of 1.5 s and the time-out after it.

An instance that is cut off from the store too refuses such streams as before: it cannot read their versions.

Change: the list is read to its end before such a stream goes on; if it cannot be read, the stream is refused as not run. One more short read of the store for each stream that is taken up.

--- a/cli/src/test/java/org/marigoldmill/cli/deployment/SoftwareVersionsIT.java
+++ b/cli/src/test/java/org/marigoldmill/cli/deployment/SoftwareVersionsIT.java
@@ -243,4 +243,64 @@
       }
     }
   }
+
+  /** The instance hears late that an engine has started again with newer software. */
+  @Nested
+  class AtAnInstanceOutOfStep {
+    private static final int OUT_OF_STEP = 2;
+
+    private EngineStandin restarted;
+    private List<String> begunBefore;
+
+    @BeforeEach
+    void restartEngine() {
+      restarted = new EngineStandin("e-3", "m", EVENTS, 20);
+      cluster.store.put("servers", "e-2", null);
+      cluster.store.put("servers", "e-3", restarted.entry("llm"));
+      DeploymentCluster.await(() -> logged("engine listed id=e-3"));
+      begunBefore = begin("before");
+      cluster.startInstancesAt(cluster.store.addressWithSilentNewsOfUpstreams(), "out-of-step");
+      restarted.softwareVersion("v2");
+      cluster.store.put("servers", "e-3", restarted.entry("llm").put("born", 2));
+      DeploymentCluster.await(
+          () ->
+              cluster
+                  .instances
+                  .get(0)
+                  .process()
+                  .output()
+                  .contains("engine listed id=e-3 service=llm software=v2"));
+    }
+
+    @AfterEach
+    void closeEngine() {
+      restarted.close();
+    }
+
+    private List<String> begin(String prefix) {
+      return IntStream.range(0, 2 * STREAMS)
+          .mapToObj(i -> prefix + "-" + i)
+          .peek(id -> assertThat(stream(0, "/gen/x", id).status()).isEqualTo(200))
+          .toList();
+    }
+
+    @Test
+    void should_go_on_at_the_version_that_began_them_when_an_engine_has_joined() {
+      List<String> begun = begin("after").stream().filter(id -> ran(restarted, id)).toList();
+      assertThat(begun).isNotEmpty();
+      for (String id : begun) {
+        assertThat(takeUp(OUT_OF_STEP, id).status()).isEqualTo(200);
+        assertThat(ran(cluster.engine, "again-" + id)).isFalse();
+      }
+    }
+
+    /** Streams went on at the engine that had started again, as one of the older software. */
+    @Test
+    void should_not_go_on_at_an_engine_that_has_left_their_version() {
+      for (String id : begunBefore) {
+        assertThat(takeUp(OUT_OF_STEP, id).status()).isEqualTo(200);
+        assertThat(ran(restarted, "again-" + id)).isFalse();
+      }
+    }
+  }
 }
--- a/server/src/main/java/org/marigoldmill/server/DeploymentInstance.java
+++ b/server/src/main/java/org/marigoldmill/server/DeploymentInstance.java
@@ -223,7 +223,8 @@
     CrashDetector crashDetector =
         new CrashDetector(
             suspects, client, crashes, pathMonitor, pool("crashes", MAX_PROBE_THREADS), clock);
-    this.origins = new StreamOrigins(store, engines, settings.getPartitions(), clock);
+    this.origins =
+        new StreamOrigins(store, engines, engineFollower::catchUp, settings.getPartitions(), clock);
     UpstreamPicker picker =
         new UpstreamPicker(engines, upstreams, limits, settings.getZone(), clock);
     RelayClient relay =
--- a/server/src/main/java/org/marigoldmill/server/deployment/EngineRegistry.java
+++ b/server/src/main/java/org/marigoldmill/server/deployment/EngineRegistry.java
@@ -183,7 +183,11 @@
     entryListeners.forEach(l -> l.accept(engine));
     engines.put(engine.id(), engine);
     engine.versions().forEach((model, v) -> versions.recordReportedVersion(engine.id(), model, v));
-    if (before == null || before.draining() != engine.draining()) {
+    boolean relisted =
+        before == null
+            || before.draining() != engine.draining()
+            || !before.softwareVersion().equals(engine.softwareVersion());
+    if (relisted) {
       logger.atInfo().log(
           "engine listed id=%s service=%s software=%s zone=%s draining=%s versions=%s",
           engine.id(),
@@ -193,8 +197,7 @@
           engine.draining(),
           engine.versions());
       routingTableStale = true;
-    } else if (!before.address().equals(engine.address())
-        || !before.softwareVersion().equals(engine.softwareVersion())) {
+    } else if (!before.address().equals(engine.address())) {
       routingTableStale = true;
     }
   }
--- a/server/src/main/java/org/marigoldmill/server/gateway/StreamOrigins.java
+++ b/server/src/main/java/org/marigoldmill/server/gateway/StreamOrigins.java
@@ -13,6 +13,7 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.UUID;
+import java.util.function.BooleanSupplier;
 import org.marigoldmill.core.continuation.ServiceVersions;
 import org.marigoldmill.core.continuation.StreamTable;
 import org.marigoldmill.core.submission.KeyedRecord;
@@ -73,15 +74,26 @@
   }
 
   private final LogStore store;
+  private final BooleanSupplier enginesCurrent;
   private final EngineRegistry registry;
   private final ServiceVersions versions;
   private final Clock clock;
   private final PartitionFollower defaults;
   private final List<Streams> partitions = new ArrayList<>();
 
-  /** Creates the origins of one instance. */
-  public StreamOrigins(LogStore store, EngineRegistry registry, int partitionCount, Clock clock) {
+  /**
+   * Creates the origins of one instance.
+   *
+   * @param enginesCurrent makes the registry as new as the store and returns whether it is
+   */
+  public StreamOrigins(
+      LogStore store,
+      EngineRegistry registry,
+      BooleanSupplier enginesCurrent,
+      int partitionCount,
+      Clock clock) {
     this.store = store;
+    this.enginesCurrent = enginesCurrent;
     this.registry = registry;
     this.versions = new ServiceVersions(clock.now());
     this.clock = clock;
@@ -163,7 +175,8 @@
     if (recorded.isPresent()) {
       return Begin.of(recorded.get());
     }
-    if (!partition.catchUp()) {
+    // An engine may have started again under its id with another version since it was listed.
+    if (!partition.catchUp() || !enginesCurrent.getAsBoolean()) {
       return Begin.unknown();
     }
     return partition
--- a/server/src/test/java/org/marigoldmill/server/gateway/StreamOriginsTest.java
+++ b/server/src/test/java/org/marigoldmill/server/gateway/StreamOriginsTest.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.util.Optional;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicLong;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Nested;
@@ -18,6 +19,7 @@
   private static final int PARTITIONS = 12;
 
   private final AtomicLong nowMs = new AtomicLong(100_000);
+  private final AtomicBoolean enginesCurrent = new AtomicBoolean(true);
   private final MemoryStore store = new MemoryStore();
 
   /** Creates the origins of an instance that has just started. */
@@ -26,6 +28,7 @@
         new StreamOrigins(
             store,
             RegisteredEngine.registry(new EngineVersions()),
+            enginesCurrent::get,
             PARTITIONS,
             nowMs::incrementAndGet);
     origins.update(false);
@@ -60,6 +63,13 @@
       store.forgetHistory();
       assertThat(resumedAt(started(), "newer")).hasValue("v2");
     }
+
+    @Test
+    void should_know_nothing_of_a_stream_when_the_engines_cannot_be_read() {
+      enginesCurrent.set(false);
+      assertThat(resumedAt(started(), "older")).isEmpty();
+      assertThat(resumedAt(started(), "newer")).isEmpty();
+    }
   }
 
   @Nested
--- a/server/src/test/java/org/marigoldmill/server/gateway/StreamRecordsTest.java
+++ b/server/src/test/java/org/marigoldmill/server/gateway/StreamRecordsTest.java
@@ -25,6 +25,7 @@
         new StreamOrigins(
             store,
             RegisteredEngine.registry(new EngineVersions()),
+            () -> true,
             PARTITIONS,
             nowMs::incrementAndGet);
     origins.follower().catchUp();
