A stream of a split route goes on at the service that began it

Evidence: ItemRoutingIT, Streams, red before. Change: the id of the request that brought the first event, which the caller names, chooses it.

--- a/cli/src/test/java/org/marigoldmill/cli/deployment/ItemRoutingIT.java
+++ b/cli/src/test/java/org/marigoldmill/cli/deployment/ItemRoutingIT.java
@@ -15,6 +15,7 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
+import org.marigoldmill.http.HttpCall.Header;
 import org.marigoldmill.http.HttpResponse;
 
 /** Two services that serve the same model, of which a route leads to one. */
@@ -172,6 +173,37 @@
     }
   }
 
+  @Nested
+  class Streams {
+    private static final int STREAMS = 12;
+
+    /** The id of the later request chose the service, so two services wrote one text. */
+    @Test
+    void should_go_on_at_the_service_that_began_them_when_their_route_is_split() {
+      // GIVEN
+      applyConfig(
+          3,
+          config -> {
+            ArrayNode routes = config.withArray("routes");
+            ObjectNode split = DeploymentCluster.route(routes, "/gen/split/", "idempotent", "llm");
+            split.put("max_attempts", 2).put("streaming", true).put("resumable", true);
+            ArrayNode backends = split.putArray("backends");
+            backends.addObject().put("service", "llm").put("weight", 1);
+            backends.addObject().put("service", "a").put("weight", 1);
+          });
+      // WHEN, THEN
+      for (int i = 0; i < STREAMS; i++) {
+        String begun = "begun-" + i;
+        String again = "again-" + i;
+        assertThat(cluster.sendWith(0, "/gen/split/x", begun).status()).isEqualTo(200);
+        Header[] resumed = {new Header("Last-Event-Id", "4"), new Header("Resumes", begun)};
+        assertThat(cluster.sendWith(1, "/gen/split/x", again, resumed).status()).isEqualTo(200);
+        assertThat(others.get("a").startedRequests().contains(again))
+            .isEqualTo(others.get("a").startedRequests().contains(begun));
+      }
+    }
+  }
+
   @Nested
   class Weights {
     /** Only the service that came last in a hash map got new versions of a shared model. */
--- a/server/src/main/java/org/marigoldmill/server/gateway/Gateway.java
+++ b/server/src/main/java/org/marigoldmill/server/gateway/Gateway.java
@@ -414,7 +414,7 @@
     requireTimeUntil(arrivedAtMs + timeoutMs);
     String query = exchange.getQueryString();
     String path = exchange.getRequestURI() + (query.isEmpty() ? "" : "?" + query);
-    String service = route.chooseService(id);
+    String service = route.chooseService(idThatChoosesService(exchange, route, id));
     String method = exchange.getRequestMethod().toString();
     List<HttpCall.Header> headers =
         RelayProtocol.withoutRelayHeaders(protocol.forwardedHeaders(exchange));
@@ -470,6 +470,16 @@
         : new Result(response, service, "refused " + detail, Optional.of(outcome.kind()));
   }
 
+  /** Returns the id of the request that began a stream, so that it goes on at the same service. */
+  private String idThatChoosesService(HttpServerExchange exchange, Route route, String id) {
+    return route.resumable()
+        ? protocol
+            .resumedStream(exchange)
+            .flatMap(CallerProtocol.ResumedStream::firstRequest)
+            .orElse(id)
+        : id;
+  }
+
   private Result forwardStream(HttpServerExchange exchange, Forwarder.Request request) {
     if (serviceEnd.isPresent()) {
       exchange.setPersistent(false);
