--- a/server/src/main/java/org/marigoldmill/server/gateway/Forwarder.java
+++ b/server/src/main/java/org/marigoldmill/server/gateway/Forwarder.java
@@ -460,7 +460,8 @@
     }
 
     private void withholdAnswer(String peer, int status) {
-      record.recordFailed(false);
+      // The other instance has counted the run.
+      record.recordLost(false);
       response = Optional.empty();
       logger.atInfo().log(
           "relayed answer withheld, the request has run id=%s peer=%s status=%d",
