All records of streams that nobody resumes are removed in one round

Found while reading the diff: a round removed 500 records of a partition, so at 190 streams a second and partition, as at the size to come, records would have grown without end while two versions serve. Now calls follow each other until none is left. StreamOriginsTest: 9,000 records are gone after one round. What mayBeginUnrecorded took from mustRecord followed from the line before it, and is gone.

--- a/core/src/main/java/org/marigoldmill/core/continuation/ServiceVersions.java
+++ b/core/src/main/java/org/marigoldmill/core/continuation/ServiceVersions.java
@@ -88,15 +88,14 @@
    * continue the stream; it then cannot be resumed. As long as there is no default version, a
    * stream without a record is continued by none.
    */
-  public synchronized boolean mayBeginUnrecorded(String service, String version, long nowMs) {
+  public synchronized boolean mayBeginUnrecorded(String service, String version) {
     Service state = service(service);
     boolean defaultGone =
         !state.listed.isEmpty()
             && state.defaultVersion.filter(d -> !state.listed.contains(d)).isPresent();
     return defaultGone
         || state.defaultVersion.equals(Optional.of(version))
-        || isOnlyVersion(state, version)
-        || !mustRecord(service, version, nowMs);
+        || isOnlyVersion(state, version);
   }
 
   /**
--- a/core/src/test/java/org/marigoldmill/core/continuation/ServiceVersionsTest.java
+++ b/core/src/test/java/org/marigoldmill/core/continuation/ServiceVersionsTest.java
@@ -136,7 +136,7 @@
     void should_be_needed_without_a_default_but_not_keep_the_only_version_from_beginning() {
       versions.recordListed(SERVICE, Set.of("v1"), 1_000);
       assertThat(versions.mustRecord(SERVICE, "v1", 1_000)).isTrue();
-      assertThat(versions.mayBeginUnrecorded(SERVICE, "v1", 1_000)).isTrue();
+      assertThat(versions.mayBeginUnrecorded(SERVICE, "v1")).isTrue();
     }
 
     /** Streams of an older version went on at the only one that was left after a restart. */
@@ -149,7 +149,7 @@
     @Test
     void should_not_be_left_out_before_the_engines_are_known() {
       versions.recordDefault(SERVICE, "v1", 1_000);
-      assertThat(versions.mayBeginUnrecorded(SERVICE, "v2", 1_000)).isFalse();
+      assertThat(versions.mayBeginUnrecorded(SERVICE, "v2")).isFalse();
     }
 
     @Test
@@ -157,24 +157,24 @@
       versions.recordDefault(SERVICE, "v1", 1_000);
       versions.recordListed(SERVICE, Set.of("v1", "v2"), 100_000);
       assertThat(versions.mustRecord(SERVICE, "v2", 100_000)).isTrue();
-      assertThat(versions.mayBeginUnrecorded(SERVICE, "v2", 100_000)).isFalse();
+      assertThat(versions.mayBeginUnrecorded(SERVICE, "v2")).isFalse();
       assertThat(versions.mustRecord(SERVICE, "v1", 100_000)).isFalse();
     }
 
     @Test
     void should_not_keep_streams_of_the_default_from_beginning_just_after_it_was_set() {
       versions.recordListed(SERVICE, Set.of("v1", "v2"), 1_000);
-      assertThat(versions.mayBeginUnrecorded(SERVICE, "v1", 1_000)).isFalse();
+      assertThat(versions.mayBeginUnrecorded(SERVICE, "v1")).isFalse();
       versions.recordDefault(SERVICE, "v1", 1_000);
       assertThat(versions.mustRecord(SERVICE, "v1", 1_100)).isTrue();
-      assertThat(versions.mayBeginUnrecorded(SERVICE, "v1", 1_100)).isTrue();
+      assertThat(versions.mayBeginUnrecorded(SERVICE, "v1")).isTrue();
     }
 
     @Test
     void should_not_keep_streams_from_beginning_when_only_the_newer_version_is_left() {
       versions.recordDefault(SERVICE, "v1", 1_000);
       versions.recordListed(SERVICE, Set.of("v2"), 100_000);
-      assertThat(versions.mayBeginUnrecorded(SERVICE, "v2", 100_000)).isTrue();
+      assertThat(versions.mayBeginUnrecorded(SERVICE, "v2")).isTrue();
     }
   }
 }
--- a/server/src/main/java/org/marigoldmill/server/gateway/StreamOrigins.java
+++ b/server/src/main/java/org/marigoldmill/server/gateway/StreamOrigins.java
@@ -48,6 +48,7 @@
   /** Keys of the store have at most 255 bytes. */
   private static final int MAX_KEY_BYTES = 200;
 
+  /** Records that are removed with one call of the store. */
   private static final int MAX_REMOVALS = 500;
 
   /** Where a stream may be continued. */
@@ -149,7 +150,7 @@
       partition.put(stream, version);
       return true;
     }
-    boolean mayBegin = versions.mayBeginUnrecorded(service, version, now);
+    boolean mayBegin = versions.mayBeginUnrecorded(service, version);
     logger.atInfo().log(
         "stream origin not stored id=%s software=%s outcome=%s begins=%s",
         stream, version, outcome, mayBegin);
@@ -158,7 +159,7 @@
 
   /** Returns whether streams may begin with a version while the store does not answer. */
   boolean mayBeginUnrecorded(String service, String version) {
-    return versions.mayBeginUnrecorded(service, version, clock.now());
+    return versions.mayBeginUnrecorded(service, version);
   }
 
   /**
@@ -285,15 +286,26 @@
       if (!follower.catchUp()) {
         return;
       }
-      List<KeyedRecord> removals = removals(clock.now());
-      if (!removals.isEmpty()) {
+      long now = clock.now();
+      List<KeyedRecord> removals = removals(now);
+      boolean stored = true;
+      while (stored && !removals.isEmpty()) {
         LogStore.AppendOutcome outcome = append(STREAMS, removals);
         logger.atInfo().log(
             "stream records removed partition=%d count=%d outcome=%s",
             number, removals.size(), outcome);
+        stored = outcome == LogStore.AppendOutcome.STORED;
+        if (stored) {
+          forget(removals);
+          removals = removals(now);
+        }
       }
     }
 
+    private synchronized void forget(List<KeyedRecord> removed) {
+      removed.forEach(r -> storedSinceMs.remove(r.key()));
+    }
+
     private synchronized List<KeyedRecord> removals(long nowMs) {
       return storedSinceMs.entrySet().stream()
           .filter(e -> nowMs - e.getValue() > StreamTable.KEPT_MS)
--- a/server/src/test/java/org/marigoldmill/server/gateway/StreamOriginsTest.java
+++ b/server/src/test/java/org/marigoldmill/server/gateway/StreamOriginsTest.java
@@ -5,6 +5,7 @@
 import java.util.Optional;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.stream.IntStream;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
@@ -12,12 +13,16 @@
 import org.marigoldmill.core.weights.EngineVersions;
 import org.marigoldmill.server.deployment.RegisteredEngine;
 import org.marigoldmill.server.store.MemoryStore;
+import org.marigoldmill.server.store.Topic;
 
 /** The only engine that is listed has version v1 of the software. */
 class StreamOriginsTest {
   private static final String SERVICE = RegisteredEngine.SERVICE;
   private static final int PARTITIONS = 12;
 
+  /** More than are removed from all partitions with one call each. */
+  private static final int STREAMS = 9_000;
+
   private final AtomicLong nowMs = new AtomicLong(100_000);
   private final AtomicBoolean enginesCurrent = new AtomicBoolean(true);
   private final MemoryStore store = new MemoryStore();
@@ -88,6 +93,27 @@
 
   @Nested
   class Removal {
+    @Test
+    void should_leave_no_record_that_nobody_needs_however_many_there_are() {
+      // GIVEN
+      StreamOrigins writer = started();
+      IntStream.range(0, STREAMS).forEach(i -> writer.recordBegin(SERVICE, "stream-" + i, "v2"));
+      StreamOrigins holder = started();
+      holder.removeExpiredRecords();
+      assertThat(storedRecords()).isEqualTo(STREAMS);
+      // WHEN
+      nowMs.addAndGet(StreamTable.KEPT_MS + STREAMS);
+      holder.removeExpiredRecords();
+      // THEN
+      assertThat(storedRecords()).isZero();
+    }
+
+    private int storedRecords() {
+      return IntStream.range(0, PARTITIONS)
+          .map(p -> store.readLatest(new Topic("stream-software", true), p).records().size())
+          .sum();
+    }
+
     @Test
     void should_keep_records_while_streams_may_be_resumed_and_no_longer() {
       // GIVEN
