--- a/server/src/test/java/org/marigoldmill/server/lastbuild/LastBuild.java
+++ b/server/src/test/java/org/marigoldmill/server/lastbuild/LastBuild.java
@@ -53,6 +53,7 @@
           Map.entry("duty-lease", "DutyLease"),
           Map.entry("software", "DefaultSoftware"),
           Map.entry("streams", "StreamOrigin"),
+          Map.entry("stream-software", "StreamOrigin"),
           Map.entry("engine-orders/need", "NeededEngines"),
           Map.entry("engine-orders/order", "OrderedEngines"),
           Map.entry("submissions/h", "Submission"),
