--- a/server/src/main/java/org/marigoldmill/server/DeploymentInstance.java
+++ b/server/src/main/java/org/marigoldmill/server/DeploymentInstance.java
@@ -82,6 +82,7 @@
   private static final long DISCONNECT_CHECK_INTERVAL_MS = 100;
   private static final long EXPIRY_INTERVAL_MS = 5_000;
   private static final long LIMIT_REPORT_INTERVAL_MS = 250;
+  private static final long ORIGINS_REMOVAL_INTERVAL_MS = 30_000;
   private static final long ORIGINS_INTERVAL_MS = 1_000;
   private static final long DIRECTORY_INTERVAL_MS = 250;
   private static final long HANDOVER_INTERVAL_MS = 200;
@@ -222,7 +223,8 @@
     CrashDetector crashDetector =
         new CrashDetector(
             suspects, client, crashes, pathMonitor, pool("crashes", MAX_PROBE_THREADS), clock);
-    this.origins = new StreamOrigins(store, engines, settings.getPartitions(), clock);
+    this.origins =
+        new StreamOrigins(store, engines, engineFollower::catchUp, settings.getPartitions(), clock);
     UpstreamPicker picker =
         new UpstreamPicker(engines, upstreams, limits, settings.getZone(), clock);
     RelayClient relay =
@@ -534,6 +536,14 @@
         ORIGINS_INTERVAL_MS,
         "origins",
         () -> origins.update(lease.remainsHeldFor(ORIGINS_INTERVAL_MS)));
+    startTask(
+        ORIGINS_REMOVAL_INTERVAL_MS,
+        "origins-removal",
+        () -> {
+          if (lease.remainsHeldFor(ORIGINS_INTERVAL_MS) && deployment.hasResumableRoutes()) {
+            origins.removeExpiredRecords();
+          }
+        });
     startTask(EXPIRY_INTERVAL_MS, "expiry", this::expireSubmissions);
     startTask(DISCONNECT_CHECK_INTERVAL_MS, "caller-watch", gateway::detectDisconnects);
     if (settings.getOrderEngines()) {
--- a/server/src/main/java/org/marigoldmill/server/deployment/EngineRegistry.java
+++ b/server/src/main/java/org/marigoldmill/server/deployment/EngineRegistry.java
@@ -13,6 +13,7 @@
 import org.marigoldmill.core.placement.LeavingEngines;
 import org.marigoldmill.core.routing.UpstreamTable;
 import org.marigoldmill.core.weights.EngineVersions;
+import org.marigoldmill.http.HttpSyntax;
 import org.marigoldmill.schema.platform.InstanceState;
 import org.marigoldmill.schema.platform.PlatformInstance;
 import org.marigoldmill.server.store.PartitionFollower;
@@ -183,7 +184,11 @@
     entryListeners.forEach(l -> l.accept(engine));
     engines.put(engine.id(), engine);
     engine.versions().forEach((model, v) -> versions.recordReportedVersion(engine.id(), model, v));
-    if (before == null || before.draining() != engine.draining()) {
+    boolean relisted =
+        before == null
+            || before.draining() != engine.draining()
+            || !before.softwareVersion().equals(engine.softwareVersion());
+    if (relisted) {
       logger.atInfo().log(
           "engine listed id=%s service=%s software=%s zone=%s draining=%s versions=%s",
           engine.id(),
@@ -193,8 +198,7 @@
           engine.draining(),
           engine.versions());
       routingTableStale = true;
-    } else if (!before.address().equals(engine.address())
-        || !before.softwareVersion().equals(engine.softwareVersion())) {
+    } else if (!before.address().equals(engine.address())) {
       routingTableStale = true;
     }
   }
@@ -225,7 +229,8 @@
   private void removeIfDeleted(StoredRecord stored, Engine before) {
     if (stored.value().isPresent()) {
       logger.atWarning().log(
-          "engine record not decodable, ignored id=%s known=%s", stored.key(), before != null);
+          "engine record not decodable, ignored id=%s known=%s",
+          HttpSyntax.printable(stored.key()), before != null);
       return;
     }
     if (before != null) {
