A SIGHUP just after an instance has become ready does not end it

Callers of such an instance lose their connections.

Cause: an instance is ready before its start returns, and the handler of SIGHUP was set after that. In between the JVM's own handler ends the process.

Change: the handler is set first. The test that showed it stays as it is; a start cannot be held between these two lines from outside, so there is no test that fails each time. The shutdown hook is still set after the start: a SIGTERM in that moment ends the process without a drain.

--- a/cli/src/main/java/org/marigoldmill/cli/ServeDeploymentCommand.java
+++ b/cli/src/main/java/org/marigoldmill/cli/ServeDeploymentCommand.java
@@ -57,8 +57,9 @@
     Path file = settingsFile(options);
     SettingsReader.WithTable<DeploymentSettings> read = read(file);
     DeploymentSettings settings = read.settings();
-    DeploymentInstance instance = PlatformAdapter.start(settings, read.table());
+    // The instance is ready before its start returns, and may be told of changed settings then.
     HangupSignal.handle(() -> validateChangedSettings(file, read));
+    DeploymentInstance instance = PlatformAdapter.start(settings, read.table());
     Runtime.getRuntime()
         .addShutdownHook(
             new Thread(() -> drainAndExit(instance, settings.getGraceMs()), "shutdown"));
