--- a/cli/src/test/java/org/marigoldmill/cli/deployment/ItemRoutingIT.java
+++ b/cli/src/test/java/org/marigoldmill/cli/deployment/ItemRoutingIT.java
@@ -21,7 +21,7 @@
 /** Two services that serve the same model, of which a route leads to one. */
 class ItemRoutingIT {
   /** Services that a hash map lists before and after the service of the route. */
-  private static final Map<String, String> OTHERS = Map.of("rollout-models", "e-2", "a", "e-3");
+  private static final Map<String, String> OTHERS = Map.of("second", "e-2", "other", "e-3");
 
   private DeploymentCluster cluster;
   private Map<String, EngineStandin> others;
@@ -31,9 +31,9 @@
     cluster = new DeploymentCluster();
     others =
         Map.of(
-            "rollout-models",
+            "second",
             new EngineStandin("e-2", "m", EVENTS, 20),
-            "a",
+            "other",
             new EngineStandin("e-3", "m", EVENTS, 20));
     applyConfig(2, config -> {});
     others.forEach(
@@ -120,12 +120,12 @@
 
     @Test
     void should_run_at_the_new_service_when_their_route_has_been_moved() {
-      applyConfig(3, config -> batchRoute(config).put("service", "a"));
+      applyConfig(3, config -> batchRoute(config).put("service", "other"));
       submit("moved");
       awaitResults("moved");
-      assertThat(itemsRunBy(others.get("a"), "moved")).isEqualTo(ITEMS);
+      assertThat(itemsRunBy(others.get("other"), "moved")).isEqualTo(ITEMS);
       assertThat(itemsRunBy(cluster.engine, "moved")).isZero();
-      assertThat(itemsRunBy(others.get("rollout-models"), "moved")).isZero();
+      assertThat(itemsRunBy(others.get("second"), "moved")).isZero();
     }
 
     @Test
@@ -135,13 +135,13 @@
           config -> {
             ArrayNode backends = batchRoute(config).putArray("backends");
             backends.addObject().put("service", "llm").put("weight", 1);
-            backends.addObject().put("service", "a").put("weight", 1);
+            backends.addObject().put("service", "other").put("weight", 1);
           });
       submit("split");
       awaitResults("split");
       assertThat(itemsRunBy(cluster.engine, "split")).isPositive();
-      assertThat(itemsRunBy(others.get("a"), "split")).isPositive();
-      assertThat(itemsRunBy(others.get("rollout-models"), "split")).isZero();
+      assertThat(itemsRunBy(others.get("other"), "split")).isPositive();
+      assertThat(itemsRunBy(others.get("second"), "split")).isZero();
     }
 
     @Test
@@ -157,13 +157,13 @@
       // GIVEN
       submit("begun");
       DeploymentCluster.await(() -> itemsRunBy(cluster.engine, "begun") > 1);
-      applyConfig(3, config -> batchRoute(config).put("service", "a"));
+      applyConfig(3, config -> batchRoute(config).put("service", "other"));
       // WHEN
       cluster.store.put("servers", "e-1", null);
       cluster.engine.close();
       // THEN
       awaitResults("begun");
-      assertThat(others.get("a").resumedRequests()).isEmpty();
+      assertThat(others.get("other").resumedRequests()).isEmpty();
       cluster
           .results(1, "begun", 0)
           .get("results")
@@ -189,7 +189,7 @@
             split.put("max_attempts", 2).put("streaming", true).put("resumable", true);
             ArrayNode backends = split.putArray("backends");
             backends.addObject().put("service", "llm").put("weight", 1);
-            backends.addObject().put("service", "a").put("weight", 1);
+            backends.addObject().put("service", "other").put("weight", 1);
           });
       // WHEN, THEN
       for (int i = 0; i < STREAMS; i++) {
@@ -198,8 +198,8 @@
         assertThat(cluster.sendWith(0, "/gen/split/x", begun).status()).isEqualTo(200);
         Header[] resumed = {new Header("Last-Event-Id", "4"), new Header("Resumes", begun)};
         assertThat(cluster.sendWith(1, "/gen/split/x", again, resumed).status()).isEqualTo(200);
-        assertThat(others.get("a").startedRequests().contains(again))
-            .isEqualTo(others.get("a").startedRequests().contains(begun));
+        assertThat(others.get("other").startedRequests().contains(again))
+            .isEqualTo(others.get("other").startedRequests().contains(begun));
       }
     }
   }
