Records of streams are not forgotten by the holder that has to remove them

Found while reading the diff: after 150 s without a removal, for example with a silent store, the holder forgot the keys that it had read, and nobody removed their records any more. The keys are now kept as long as they are stored: tombstones take them out, and a new load after a gap in the history replaces them with their times kept. Records for former builds have a receiver of their own, as a gap in their history says nothing of the keys.

--- a/server/src/main/java/org/marigoldmill/server/gateway/StreamOrigins.java
+++ b/server/src/main/java/org/marigoldmill/server/gateway/StreamOrigins.java
@@ -245,7 +245,8 @@
     private Streams(int number) {
       this.number = number;
       this.follower = new PartitionFollower(store, STREAMS, number, 0, 0, this, clock);
-      this.formerFollower = new PartitionFollower(store, FORMER_STREAMS, number, 0, 0, this, clock);
+      this.formerFollower =
+          new PartitionFollower(store, FORMER_STREAMS, number, 0, 0, new FormerRecords(), clock);
     }
 
     /** Stores a record for instances of this build, and one for those of a former build. */
@@ -274,11 +275,8 @@
       table.put(stream, version, clock.now());
     }
 
-    /** Also forgets records that another instance has long removed, if this one does not read. */
     private synchronized void expire() {
-      long now = clock.now();
-      table.removeExpired(now);
-      storedSinceMs.values().removeIf(since -> now - since > 2 * StreamTable.KEPT_MS);
+      table.removeExpired(clock.now());
     }
 
     /** Goes by the time of reading, as clocks of writers may differ. */
@@ -314,9 +312,19 @@
           .toList();
     }
 
-    /** Keeps what is known, because a record never changes. */
+    /** Keeps the versions that are known, because a record never changes. */
     @Override
-    public void reset() {}
+    public synchronized void reset() {
+      storedSinceMs.clear();
+    }
+
+    /** Keeps the times of records that are still stored. */
+    @Override
+    public synchronized void load(Runnable replay) {
+      Map<String, Long> before = Map.copyOf(storedSinceMs);
+      PartitionFollower.Sink.super.load(replay);
+      storedSinceMs.replaceAll((key, since) -> before.getOrDefault(key, since));
+    }
 
     @Override
     public synchronized void apply(StoredRecord stored) {
@@ -324,15 +332,29 @@
         storedSinceMs.remove(stored.key());
         return;
       }
-      if (!stored.key().isEmpty()) {
-        storedSinceMs.putIfAbsent(stored.key(), clock.now());
-      }
+      storedSinceMs.putIfAbsent(stored.key(), clock.now());
+      putRecord(stored.value().get());
+    }
+
+    private void putRecord(byte[] value) {
       try {
-        StreamOrigin origin = StreamOrigin.parseFrom(stored.value().get());
+        StreamOrigin origin = StreamOrigin.parseFrom(value);
         put(origin.getStream(), origin.getSoftwareVersion());
       } catch (InvalidProtocolBufferException e) {
         throw new IllegalArgumentException("malformed stream origin: " + e.getMessage(), e);
       }
     }
+
+    /** Receives the records for former builds, which expire by themselves. */
+    private final class FormerRecords implements PartitionFollower.Sink {
+      /** Keeps the versions that are known, because a record never changes. */
+      @Override
+      public void reset() {}
+
+      @Override
+      public void apply(StoredRecord stored) {
+        stored.value().ifPresent(Streams.this::putRecord);
+      }
+    }
   }
 }
