--- a/cli/src/test/java/org/marigoldmill/cli/deployment/SoftwareVersionsIT.java
+++ b/cli/src/test/java/org/marigoldmill/cli/deployment/SoftwareVersionsIT.java
@@ -6,6 +6,9 @@
 
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
 import java.util.stream.IntStream;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -249,6 +252,7 @@
   class AtAnInstanceOutOfStep {
     private static final int OUT_OF_STEP = 2;
 
+    private final ExecutorService callers = Executors.newCachedThreadPool();
     private EngineStandin restarted;
     private List<String> begunBefore;
 
@@ -274,14 +278,19 @@
 
     @AfterEach
     void closeEngine() {
+      callers.shutdownNow();
       restarted.close();
     }
 
+    /** Begins streams at the same time, before the instance out of step hears of the engine. */
     private List<String> begin(String prefix) {
-      return IntStream.range(0, 2 * STREAMS)
-          .mapToObj(i -> prefix + "-" + i)
-          .peek(id -> assertThat(stream(0, "/gen/x", id).status()).isEqualTo(200))
-          .toList();
+      List<String> ids = IntStream.range(0, 2 * STREAMS).mapToObj(i -> prefix + "-" + i).toList();
+      List<CompletableFuture<HttpResponse>> answers =
+          ids.stream()
+              .map(id -> CompletableFuture.supplyAsync(() -> stream(0, "/gen/x", id), callers))
+              .toList();
+      assertThat(answers).allMatch(a -> a.join().status() == 200);
+      return ids;
     }
 
     @Test
--- a/server/src/test/java/org/marigoldmill/server/gateway/StreamOriginsTest.java
+++ b/server/src/test/java/org/marigoldmill/server/gateway/StreamOriginsTest.java
@@ -2,7 +2,9 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.stream.IntStream;
@@ -10,7 +12,9 @@
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 import org.marigoldmill.core.continuation.StreamTable;
+import org.marigoldmill.core.submission.KeyedRecord;
 import org.marigoldmill.core.weights.EngineVersions;
+import org.marigoldmill.schema.fleet.DefaultSoftware;
 import org.marigoldmill.server.deployment.RegisteredEngine;
 import org.marigoldmill.server.store.MemoryStore;
 import org.marigoldmill.server.store.Topic;
@@ -58,7 +62,10 @@
     /** A stream of the version that had just left went on at the only one that was listed. */
     @Test
     void should_read_the_default_version_before_it_is_applied_to_a_stream() {
-      assertThat(resumedAt(started(), "older")).hasValue("v1");
+      byte[] left = DefaultSoftware.newBuilder().setSoftwareVersion("v0").build().toByteArray();
+      KeyedRecord appended = new KeyedRecord(SERVICE, Optional.of(left));
+      store.append(new Topic("software", true), 0, OptionalLong.empty(), List.of(appended));
+      assertThat(resumedAt(started(), "older")).hasValue("v0");
       assertThat(resumedAt(started(), "newer")).hasValue("v2");
     }
 
