Tests of answers whose connection ends inside their head

Here nothing failed before: calls, streams, items and reward calls get no answer from such a head, cut at ten places, the status line and the length among them.

--- a/cli/src/test/java/org/marigoldmill/cli/deployment/BrokenAnswerIT.java
+++ b/cli/src/test/java/org/marigoldmill/cli/deployment/BrokenAnswerIT.java
@@ -66,6 +66,10 @@
         + "\r\n";
   }
 
+  private static String query(RawStandin.Request request) {
+    return request.path().substring(request.path().indexOf('?') + 1);
+  }
+
   private void awaitLogged(String line) {
     DeploymentCluster.await(
         () -> cluster.instances.stream().allMatch(i -> i.process().output().contains(line)));
@@ -178,8 +182,7 @@
 
     private void answerSpoilt(RawStandin.Request request) throws IOException {
       request.skipBody();
-      String query = request.path().substring(request.path().indexOf('?') + 1);
-      request.write(head(request) + SPOILT_ANSWERS.get(Integer.parseInt(query)));
+      request.write(head(request) + SPOILT_ANSWERS.get(Integer.parseInt(query(request))));
     }
 
     private void answerSpoiltReward(RawStandin.Request request) throws IOException {
@@ -313,8 +316,7 @@
 
     private void answerWithStatus(RawStandin.Request request) throws IOException {
       request.skipBody();
-      String status = request.path().substring(request.path().indexOf('?') + 1);
-      String head = head(request).replace("200 OK", status + " OK");
+      String head = head(request).replace("200 OK", query(request) + " OK");
       request.write(head + "Content-Length: 6\r\n\r\nspoilt");
     }
 
@@ -348,6 +350,111 @@
     }
   }
 
+  /** Answers whose connection ends inside their head. */
+  @Nested
+  class UnfinishedHeads {
+    private static final String FIELDS =
+        "Content-Type: text/event-stream\r\nX-Weight-Versions: 1\r\nContent-Length: 20\r\n";
+
+    /** Returns the number of bytes after which a head is cut, given that of the whole head. */
+    private static List<Integer> cuts(int headBytes) {
+      return List.of(
+          0,
+          7,
+          12,
+          15,
+          17,
+          headBytes / 2,
+          headBytes - 22,
+          headBytes - 5,
+          headBytes - 4,
+          headBytes - 2);
+    }
+
+    private static String wholeHead(RawStandin.Request request) {
+      return head(request) + FIELDS + "\r\n";
+    }
+
+    private void stopInHead(RawStandin.Request request, int cut) throws IOException {
+      request.skipBody();
+      String head = wholeHead(request);
+      request.write(head.substring(0, cuts(head.length()).get(cut)));
+    }
+
+    private void stopInHeadOfQuery(RawStandin.Request request) throws IOException {
+      stopInHead(request, Integer.parseInt(query(request)));
+    }
+
+    private IntStream cutIndexes() {
+      return IntStream.range(0, cuts(0).size());
+    }
+
+    @Test
+    void should_be_no_answer_to_any_kind_of_call() {
+      try (RawStandin upstream = RawStandin.start(this::stopInHeadOfQuery);
+          RawStandin engine = RawStandin.start(this::stopInHeadOfQuery)) {
+        // GIVEN
+        listForCalls(upstream);
+        list("raw-engine", engine, cluster.engine.entry("llm"));
+        remove("e-1");
+        for (String path : List.of("/once/x?", "/app/x?", "/gen/x?", "/gen/once/x?")) {
+          assertThat(cutIndexes())
+              .allSatisfy(
+                  i -> {
+                    // WHEN
+                    HttpResponse answer = cluster.sendWith(0, path + i, "call" + path.length() + i);
+                    // THEN
+                    assertThat(answer.status()).as(path + i).isEqualTo(502);
+                    assertThat(answer.text()).doesNotContain("Seal", "piece");
+                  });
+        }
+      }
+    }
+
+    @Test
+    void should_lead_to_another_upstream_when_a_call_may_be_repeated() {
+      try (RawStandin upstream = RawStandin.start(this::stopInHeadOfQuery);
+          RawStandin sound = RawStandin.start(BrokenAnswerIT::answerSoundly)) {
+        // GIVEN
+        listForCalls(upstream, sound);
+        // WHEN, THEN
+        assertThat(cutIndexes())
+            .allSatisfy(
+                i ->
+                    assertThat(cluster.sendWith(0, "/app/x?" + i, "call-" + i).text())
+                        .isEqualTo("sound"));
+        assertThat(upstream.paths()).isNotEmpty();
+      }
+    }
+
+    @Test
+    void should_add_nothing_to_the_text_of_an_item_and_score_none() {
+      // GIVEN
+      AtomicInteger requests = new AtomicInteger();
+      RawStandin.Answer stops = r -> stopInHead(r, requests.getAndIncrement() % cuts(0).size());
+      try (RawStandin engine = RawStandin.start(stops);
+          RawStandin scorer = RawStandin.start(stops)) {
+        list("raw", engine, cluster.engine.entry("llm"));
+        list("raw-scorer", scorer, cluster.plain.entry("app"));
+        // WHEN
+        cluster.post(0, "/batch/s1", "s1", DeploymentCluster.submission());
+        // THEN
+        DeploymentCluster.await(
+            () -> cluster.results(0, "s1", 0).get("next").asInt() == DeploymentCluster.ITEMS);
+        assertThat(cluster.results(0, "s1", 0).get("results"))
+            .allSatisfy(
+                r -> {
+                  assertThat(r.get("text").asText())
+                      .isEqualTo(EngineStandin.completeText(DeploymentCluster.EVENTS));
+                  assertThat(r.get("score").asText())
+                      .isEqualTo(EngineStandin.score("reward-" + r.get("id").asText()));
+                });
+        assertThat(engine.paths()).isNotEmpty();
+        assertThat(scorer.paths()).isNotEmpty();
+      }
+    }
+  }
+
   /**
    * Streams that break off after two events, and answers of errors to the attempts to resume them.
    */
