Logs tell where an item goes on, and its length beside its estimate

Item generated now has the whole text's events, the estimate and the attempts; item continues is new, one line for each attempt that goes on with a text. No decision changes.

--- a/server/src/main/java/org/marigoldmill/server/batch/ItemRunner.java
+++ b/server/src/main/java/org/marigoldmill/server/batch/ItemRunner.java
@@ -226,19 +226,24 @@
       logAttemptEnded(task, engine, "stream ended inside an event or without one");
       return false;
     }
-    lengths.recordEnded(
-        task.submission().getModel(), task.expectedTokens(), task.generatedEvents());
+    String model = task.submission().getModel();
+    final long estimatedEvents = lengths.remainingEvents(model, task.expectedTokens(), 0);
+    lengths.recordEnded(model, task.expectedTokens(), task.generatedEvents());
     boolean mixedVersions =
         task.submission().getSingleVersion() && task.text().versions().size() > 1;
     logger.atInfo().log(
-        "item generated id=%s submission=%s engine=%s software=%s events=%d versions=%s ms=%d",
+        "item generated id=%s submission=%s engine=%s software=%s events=%d versions=%s ms=%d"
+            + " whole=%d estimate=%d attempts=%d",
         task.item().getId(),
         task.submission().getId(),
         engine.id(),
         engine.softwareVersion(),
         events,
         task.text().versions(),
-        durationMs);
+        durationMs,
+        task.generatedEvents(),
+        estimatedEvents,
+        task.attempts());
     if (mixedVersions) {
       task.text().restart();
     }
--- a/server/src/main/java/org/marigoldmill/server/batch/ItemTask.java
+++ b/server/src/main/java/org/marigoldmill/server/batch/ItemTask.java
@@ -24,6 +24,7 @@
   private volatile long startedAtMs;
   private volatile long notBeforeMs = Long.MIN_VALUE;
   private Cancellation attemptCancellation = new Cancellation();
+  private volatile int attempts;
   private int failures;
 
   /**
@@ -100,9 +101,15 @@
     engineService = engine.service();
     startedAtMs = nowMs;
     moving = false;
+    attempts++;
     running = true;
   }
 
+  /** Returns the number of attempts that have been started. */
+  int attempts() {
+    return attempts;
+  }
+
   /** Returns the engine of the current or last attempt, or an empty string. */
   String engineId() {
     return engineId;
--- a/server/src/main/java/org/marigoldmill/server/batch/RolloutScheduler.java
+++ b/server/src/main/java/org/marigoldmill/server/batch/RolloutScheduler.java
@@ -462,10 +462,27 @@
     task.text().restart();
   }
 
+  private void logContinuation(ItemTask task, Engine engine) {
+    logger.atInfo().log(
+        "item continues id=%s engine=%s before=%s events=%d remaining=%d ms_per_event=%.0f"
+            + " before_ms_per_event=%.0f running=%d",
+        task.item().getId(),
+        engine.id(),
+        task.engineId(),
+        task.generatedEvents(),
+        remainingEvents(task),
+        loads.msPerEvent(engine.id()),
+        loads.msPerEvent(task.engineId()),
+        loads.runningRequests(engine.id()));
+  }
+
   private void startAttempt(ItemTask task, Engine engine) {
     if (task.mustRestartAt(engine)) {
       logAndRestart(task, engine);
     }
+    if (task.generatedEvents() > 0) {
+      logContinuation(task, engine);
+    }
     task.startAttempt(engine, clock.now());
     logger.atFine().log("item started id=%s engine=%s", task.item().getId(), engine.id());
     try {
