A run that outlasts its estimate may move to a faster engine

Callers saw: steps that end with one long item which stays at a slow engine while fast ones have free slots.

Estimates are off by half either way, and the runs that end a step are those whose estimate was too short: for these one event is left, all the time.

Evidence: RunLengthsTest should_be_part_of_its_length_when_a_run_outlasts_its_estimate_as_others_did fails before (1 instead of 20). The emulator handed MovePolicy the whole estimate as remaining, as the product did before, so it could not show the fault; it now asks RunLengths as the product does.

Change: runs that outlasted their estimate tell by what share; a run is expected to go on for that share of its length so far, if that is more than what its estimate leaves.

--- a/bench/src/main/java/org/marigoldmill/bench/emulator/EmulatedItem.java
+++ b/bench/src/main/java/org/marigoldmill/bench/emulator/EmulatedItem.java
@@ -52,6 +52,11 @@
     return generatedEvents >= events;
   }
 
+  /** Returns the number of events that have been generated whole. */
+  long wholeEvents() {
+    return (long) Math.floor(generatedEvents);
+  }
+
   void start(String at, long now, long prefillMs) {
     engine = at;
     startedAtMs = now;
--- a/bench/src/main/java/org/marigoldmill/bench/emulator/Emulator.java
+++ b/bench/src/main/java/org/marigoldmill/bench/emulator/Emulator.java
@@ -13,6 +13,7 @@
 import org.marigoldmill.core.placement.EngineLoads;
 import org.marigoldmill.core.placement.EngineShares;
 import org.marigoldmill.core.placement.MovePolicy;
+import org.marigoldmill.core.placement.RunLengths;
 import org.marigoldmill.core.weights.EngineVersions;
 import org.marigoldmill.core.weights.LoadAnnouncements;
 import org.marigoldmill.core.weights.LoadQueue;
@@ -51,6 +52,7 @@
   private final Map<String, EmulatedEngine> engines = new LinkedHashMap<>();
   private final List<EmulatedTrainer> trainers = new ArrayList<>();
   private final Map<String, EngineLoads> loads = new HashMap<>();
+  private final RunLengths lengths = new RunLengths();
   private final EngineVersions versions = new EngineVersions();
   private final LoadQueue queue;
   private final Map<String, LoadAnnouncements> announcements = new HashMap<>();
@@ -192,6 +194,7 @@
     }
     if (item.done()) {
       stop(engine, item);
+      lengths.recordEnded(item.step().model(), item.expectedEvents(), item.wholeEvents());
       item.step().recordFinished(item, now);
     }
   }
@@ -292,7 +295,13 @@
             .toList();
     List<MovePolicy.Run> runs =
         running.stream()
-            .map(i -> new MovePolicy.Run(i.id(), i.engine(), i.startedAtMs(), i.expectedEvents()))
+            .map(
+                i ->
+                    new MovePolicy.Run(
+                        i.id(),
+                        i.engine(),
+                        i.startedAtMs(),
+                        lengths.remainingEvents(model, i.expectedEvents(), i.wholeEvents())))
             .toList();
     Map<String, Double> speeds =
         running.stream()
--- a/core/src/main/java/org/marigoldmill/core/placement/RunLengths.java
+++ b/core/src/main/java/org/marigoldmill/core/placement/RunLengths.java
@@ -8,7 +8,11 @@
  * and from the tokens an event had in the runs that have ended.
  *
  * <p>An event may hold any number of tokens, and nothing but finished runs tells how many. Times
- * and sizes of a model's latest runs count most. The state is two sums a model.
+ * and sizes of a model's latest runs count most.
+ *
+ * <p>The longest runs of a step are mostly those whose estimate was too short. So a run that nears
+ * or outlasts its estimate is expected to go on for part of its length so far, as others did that
+ * outlasted theirs. The state is four sums a model.
  */
 public final class RunLengths {
   /** Part of the sums that is kept when another run ends. */
@@ -17,6 +21,27 @@
   private static final class Sums {
     private double tokens;
     private double events;
+    private double outlastedEstimates;
+    private double excessEvents;
+
+    private double estimate(long expectedTokens) {
+      return expectedTokens * events / tokens;
+    }
+
+    /** Returns by what share of their estimate runs that outlasted it were longer, on average. */
+    private double excessShare() {
+      return outlastedEstimates == 0 ? 0 : excessEvents / outlastedEstimates;
+    }
+
+    private void recordEnded(long expectedTokens, long endedEvents) {
+      double estimate = tokens == 0 ? endedEvents : estimate(expectedTokens);
+      if (endedEvents > estimate) {
+        outlastedEstimates = KEPT_PART * outlastedEstimates + estimate;
+        excessEvents = KEPT_PART * excessEvents + endedEvents - estimate;
+      }
+      tokens = KEPT_PART * tokens + expectedTokens;
+      events = KEPT_PART * events + endedEvents;
+    }
   }
 
   private final Map<String, Sums> sumsByModel = new HashMap<>();
@@ -34,9 +59,7 @@
     if (expectedTokens <= 0 || events <= 0) {
       return;
     }
-    Sums sums = sumsByModel.computeIfAbsent(model, m -> new Sums());
-    sums.tokens = KEPT_PART * sums.tokens + expectedTokens;
-    sums.events = KEPT_PART * sums.events + events;
+    sumsByModel.computeIfAbsent(model, m -> new Sums()).recordEnded(expectedTokens, events);
   }
 
   /**
@@ -48,7 +71,10 @@
    */
   public synchronized long remainingEvents(String model, long expectedTokens, long events) {
     Sums sums = sumsByModel.get(model);
-    double expected = sums == null ? expectedTokens : expectedTokens * sums.events / sums.tokens;
-    return Math.max(1, Math.round(expected) - events);
+    double total =
+        sums == null
+            ? expectedTokens
+            : Math.max(sums.estimate(expectedTokens), events * (1 + sums.excessShare()));
+    return Math.max(1, Math.round(total) - events);
   }
 }
--- a/core/src/test/java/org/marigoldmill/core/placement/RunLengthsTest.java
+++ b/core/src/test/java/org/marigoldmill/core/placement/RunLengthsTest.java
@@ -40,6 +40,16 @@
       assertThat(lengths.remainingEvents("model", 700, 12)).isEqualTo(1);
     }
 
+    @Test
+    void should_be_part_of_its_length_when_a_run_outlasts_its_estimate_as_others_did() {
+      // GIVEN
+      lengths.recordEnded("model", 700, 10);
+      lengths.recordEnded("model", 700, 15);
+      // THEN
+      assertThat(lengths.remainingEvents("model", 700, 40)).isEqualTo(20);
+      assertThat(lengths.remainingEvents("model", 700, 2)).isGreaterThanOrEqualTo(10);
+    }
+
     @Test
     void should_ignore_a_run_when_nothing_was_expected_of_it() {
       // GIVEN
