Items are placed by the time that an engine takes for an event, failed engines last

Callers saw: long items placed at slow engines, and moved off one slow engine to another. After a zone was cut off, the same items were sent up to four times to engines out of reach: 61 attempts ended as CONNECT, 34 as SILENT.

Cause: the cost of an engine was (running + 1) x time of an event, as if it divided its speed among its items. Engines batch: the median time of an event was 22 to 24 ms at fast engines and 47 to 55 ms at the others with 1 to 6 items. So an idle slow engine cost less than a fast one with two items, also for an item that was moved to the fast one. And an engine whose last request failed was full of items again after its back-off, and counted as room for moves during it.

Change: the time of an event decides, with a quarter more for an engine that is full, so that equal engines share.

--- a/bench/src/main/java/org/marigoldmill/bench/emulator/Emulator.java
+++ b/bench/src/main/java/org/marigoldmill/bench/emulator/Emulator.java
@@ -289,9 +289,7 @@
             .map(
                 e ->
                     new MovePolicy.Room(
-                        e.id(),
-                        placed.msPerEvent(e.id()),
-                        e.slots() - placed.runningRequests(e.id())))
+                        e.id(), placed.msPerEvent(e.id()), placed.freeSlots(e, now)))
             .toList();
     List<MovePolicy.Run> runs =
         running.stream()
--- a/core/src/main/java/org/marigoldmill/core/placement/EngineLoads.java
+++ b/core/src/main/java/org/marigoldmill/core/placement/EngineLoads.java
@@ -9,6 +9,11 @@
 /**
  * Tracks this process's requests and the generation speed of each engine, and chooses engines.
  *
+ * <p>Answers the load of engines of unequal speed that batch: the time of an event depends on the
+ * engine, and little on the number of requests there, until the slots are in use. Requests that are
+ * placed longest first then end soonest at the fastest engine that has a free slot, however many
+ * run there already.
+ *
  * <p>Times are readings of a monotonic clock in milliseconds.
  */
 public final class EngineLoads {
@@ -19,6 +24,9 @@
   private static final long MAX_FAILURE_BACKOFF_MS = 4_000;
   private static final double SMOOTHING_FACTOR = 0.2;
 
+  /** Share by which an event takes longer while all slots are in use; spreads equal engines. */
+  private static final double FULL_SLOWDOWN = 0.25;
+
   private static final class Load {
     private int running;
     private int failures;
@@ -29,21 +37,25 @@
   private final Map<String, Load> loads = new HashMap<>();
 
   /**
-   * Chooses the engine with the lowest expected cost of one more request, and reserves a slot
-   * there.
+   * Chooses the engine with the lowest expected time for an event of one more request, and reserves
+   * a slot there. An engine whose last request failed comes after all others.
    *
    * @param candidates engines that can serve the request
-   * @param zone zone of this process; preferred among engines of equal cost
+   * @param zone zone of this process; preferred among engines of equal time
    * @param nowMs current time
    * @return the engine, or empty if none has a free slot and is out of back-off
    */
   public synchronized Optional<Engine> acquire(List<Engine> candidates, String zone, long nowMs) {
-    Comparator<Engine> byCost = Comparator.comparingDouble(this::cost);
+    Comparator<Engine> soundFirst = Comparator.comparing(e -> load(e.id()).failures > 0);
     Comparator<Engine> localFirst = Comparator.comparing(e -> !e.zone().equals(zone));
     Optional<Engine> chosen =
         candidates.stream()
-            .filter(e -> available(e, nowMs))
-            .min(byCost.thenComparing(localFirst).thenComparing(Engine::id));
+            .filter(e -> freeSlots(e, nowMs) > 0)
+            .min(
+                soundFirst
+                    .thenComparingDouble(this::msPerEventWithOneMore)
+                    .thenComparing(localFirst)
+                    .thenComparing(Engine::id));
     chosen.ifPresent(e -> load(e.id()).running++);
     return chosen;
   }
@@ -67,6 +79,11 @@
     load.backoffUntilMs = nowMs + Math.min(backoffMs, MAX_FAILURE_BACKOFF_MS);
   }
 
+  /** Records that an engine completed a request, which resets its count of failures. */
+  public synchronized void recordCompleted(String engine) {
+    load(engine).failures = 0;
+  }
+
   /**
    * Records that an engine generated events, which resets its count of failures.
    *
@@ -82,6 +99,14 @@
             : load.msPerEvent + SMOOTHING_FACTOR * (msPerEvent - load.msPerEvent);
   }
 
+  /** Takes over the time that an engine took for other processes, unless it is known here. */
+  public synchronized void assumeSpeed(String engine, double msPerEvent) {
+    Load load = load(engine);
+    if (load.msPerEvent == 0) {
+      load.msPerEvent = msPerEvent;
+    }
+  }
+
   /** Returns the smoothed time that an engine takes for an event, in milliseconds; 0 if unknown. */
   public synchronized double msPerEvent(String engine) {
     Load load = loads.get(engine);
@@ -94,16 +119,27 @@
     return load == null ? 0 : load.running;
   }
 
-  private boolean available(Engine engine, long nowMs) {
+  /**
+   * Returns how many more requests an engine may get now.
+   *
+   * <p>An engine whose last request failed gets a single one, which finds out whether it answers:
+   * others would wait as long for nothing.
+   */
+  public synchronized int freeSlots(Engine engine, long nowMs) {
     Load load = load(engine.id());
-    return load.running < engine.slots() && load.backoffUntilMs <= nowMs;
+    if (load.backoffUntilMs > nowMs) {
+      return 0;
+    }
+    int slots = load.failures == 0 ? engine.slots() : 1;
+    return Math.max(0, slots - load.running);
   }
 
-  /** Returns the time for an event with one more request; unknown times count as 1 ms. */
-  private double cost(Engine engine) {
+  /** Returns the expected time for an event with one more request; unknown times count as 1 ms. */
+  private double msPerEventWithOneMore(Engine engine) {
     Load load = load(engine.id());
     double msPerEvent = load.msPerEvent == 0 ? 1 : load.msPerEvent;
-    return (load.running + 1) * msPerEvent;
+    double usedShare = (load.running + 1.0) / engine.slots();
+    return msPerEvent * (1 + FULL_SLOWDOWN * usedShare);
   }
 
   private Load load(String engine) {
--- a/server/src/main/java/org/marigoldmill/server/batch/ItemRunner.java
+++ b/server/src/main/java/org/marigoldmill/server/batch/ItemRunner.java
@@ -107,6 +107,7 @@
       slotTimes.recordAttempt(task.submission().getModel(), clock.now() - acquiredAtMs);
     }
     if (complete) {
+      loads.recordCompleted(engine.id());
       slotTimes.recordCompleted(task.submission().getModel(), task.expectedTokens());
     }
     try {
--- a/server/src/main/java/org/marigoldmill/server/batch/RolloutScheduler.java
+++ b/server/src/main/java/org/marigoldmill/server/batch/RolloutScheduler.java
@@ -417,11 +417,7 @@
             .filter(e -> !limits.isLimited(e.id()) && !limits.isCold(e.id(), now))
             .filter(e -> e.softwareVersion().equals(group.software()))
             .map(
-                e ->
-                    new MovePolicy.Room(
-                        e.id(),
-                        loads.msPerEvent(e.id()),
-                        e.slots() - loads.runningRequests(e.id())))
+                e -> new MovePolicy.Room(e.id(), loads.msPerEvent(e.id()), loads.freeSlots(e, now)))
             .toList();
     List<MovePolicy.Run> runs =
         running.stream()
