Fast and slow engines are divided evenly among the models

A trainer whose model has slow engines only waits for the longest item of each step, falls behind, and never comes to its last steps; with groups of 16 nearly every group holds such an item.

Cause: the engines of a service were divided among its models by number, whatever their speed.

EngineSharesTest and SubmissionPartitionsTest have the decision and the state.

Change: each result names the engine of its last run and its time for an event. All owners read all results, so all divide the engines by the same medians: every model gets its part of the engines that are much faster or slower than the median one, and as many engines as before. A new owner starts with these speeds instead of none.

--- a/bench/src/main/java/org/marigoldmill/bench/emulator/EmulatedItem.java
+++ b/bench/src/main/java/org/marigoldmill/bench/emulator/EmulatedItem.java
@@ -1,5 +1,7 @@
 package org.marigoldmill.bench.emulator;
 
+import java.util.OptionalDouble;
+
 /** An item of a step: its length, its progress, and the engine that runs it. */
 final class EmulatedItem {
   private final EmulatedStep step;
@@ -8,6 +10,7 @@
   private final int events;
   private final int expectedEvents;
   private double generatedEvents;
+  private double eventsBeforeRun;
   private long firstEventAtMs;
   private long startedAtMs;
   private String engine = "";
@@ -61,6 +64,19 @@
     engine = at;
     startedAtMs = now;
     firstEventAtMs = now + prefillMs;
+    eventsBeforeRun = generatedEvents;
+  }
+
+  /**
+   * Returns the time of an event in the run that ends now, in ms.
+   *
+   * @param minEvents number of events below which the run tells no time
+   */
+  OptionalDouble generationMs(long now, int minEvents) {
+    double runEvents = generatedEvents - eventsBeforeRun;
+    return runEvents < minEvents
+        ? OptionalDouble.empty()
+        : OptionalDouble.of((now - firstEventAtMs) / runEvents);
   }
 
   /** Ends the run; whole events that have been generated are kept. */
--- a/bench/src/main/java/org/marigoldmill/bench/emulator/Emulator.java
+++ b/bench/src/main/java/org/marigoldmill/bench/emulator/Emulator.java
@@ -12,6 +12,7 @@
 import org.marigoldmill.core.placement.Engine;
 import org.marigoldmill.core.placement.EngineLoads;
 import org.marigoldmill.core.placement.EngineShares;
+import org.marigoldmill.core.placement.EngineTimes;
 import org.marigoldmill.core.placement.MovePolicy;
 import org.marigoldmill.core.placement.RunLengths;
 import org.marigoldmill.core.weights.EngineVersions;
@@ -39,6 +40,7 @@
 
   private static final long MOVE_INTERVAL_MS = 200;
   private static final long LOAD_PLAN_INTERVAL_MS = 50;
+  private static final long DIVISION_INTERVAL_MS = 2_000;
   private static final String ZONE = "z";
   private static final String SERVICE = "s";
 
@@ -53,6 +55,7 @@
   private final List<EmulatedTrainer> trainers = new ArrayList<>();
   private final Map<String, EngineLoads> loads = new HashMap<>();
   private final RunLengths lengths = new RunLengths();
+  private final EngineTimes times = new EngineTimes();
   private final EngineVersions versions = new EngineVersions();
   private final LoadQueue queue;
   private final Map<String, LoadAnnouncements> announcements = new HashMap<>();
@@ -115,6 +118,9 @@
       trainer.advance(now);
     }
     stopEndedItems();
+    if (now % DIVISION_INTERVAL_MS == 0) {
+      shares = divideEngines();
+    }
     if (now % LOAD_PLAN_INTERVAL_MS == 0) {
       planLoads(now);
       startLoads(now);
@@ -195,6 +201,7 @@
     if (item.done()) {
       stop(engine, item);
       lengths.recordEnded(item.step().model(), item.expectedEvents(), item.wholeEvents());
+      item.generationMs(now, EngineTimes.MIN_EVENTS).ifPresent(ms -> times.add(engine.id(), ms));
       item.step().recordFinished(item, now);
     }
   }
@@ -207,11 +214,11 @@
     }
   }
 
-  /** Divides the engines among the models; called when an engine is added or removed. */
+  /** Divides the engines among the models by what is known of their speeds. */
   private Map<String, List<Engine>> divideEngines() {
     Map<String, Double> demand =
         trainers.stream().collect(Collectors.toMap(EmulatedTrainer::model, t -> 1.0));
-    EngineShares divided = EngineShares.divide(engines.keySet(), demand);
+    EngineShares divided = EngineShares.divide(engines.keySet(), demand, times.medians());
     Map<String, List<Engine>> byModel = new LinkedHashMap<>();
     for (EmulatedTrainer trainer : trainers) {
       byModel.put(
--- a/bench/src/test/java/org/marigoldmill/bench/emulator/EmulatorTest.java
+++ b/bench/src/test/java/org/marigoldmill/bench/emulator/EmulatorTest.java
@@ -75,6 +75,47 @@
     }
   }
 
+  /** A few fast engines among slow ones, items of very different length, and large groups. */
+  @Nested
+  class UnequalEngines {
+    /** Highest share of its worth that the users want each kind of rollout to earn on a day. */
+    private static final double CLASS_FLOOR = 0.37;
+
+    private static final int ENGINES = 24;
+    private static final int FAST_ENGINES = 4;
+
+    private static EmulatorScenario unequal() {
+      return scenario(
+          s ->
+              s.setEngines(ENGINES)
+                  .setSlots(6)
+                  .setModels(4)
+                  .setGroups(4)
+                  .setGroupSize(16)
+                  .setEventMs(23)
+                  .setEventMsPerRun(0.3)
+                  .setEventsMean(22)
+                  .setEventsSpread(1.1)
+                  .setEventsMax(133)
+                  .setTrainMs(1_000)
+                  .setParallelLoads(6)
+                  .setSlowEngines(ENGINES - FAST_ENGINES)
+                  .setSlowFactor(3)
+                  .setSlowFromMs(5)
+                  .setSlowForMs(100_000));
+    }
+
+    /** SHORT: the model whose share of the engines held no fast one earned less than its floor. */
+    @Test
+    void should_serve_every_trainer_above_its_floor_when_few_engines_are_fast() {
+      assertThat(LongStream.range(0, SEEDS))
+          .allSatisfy(
+              seed ->
+                  assertThat(Emulator.simulate(unequal(), seed, "product").lowestWorth())
+                      .isGreaterThan(CLASS_FLOOR));
+    }
+  }
+
   @Nested
   class Policies {
     @Test
--- a/core/src/test/java/org/marigoldmill/core/placement/EngineSharesTest.java
+++ b/core/src/test/java/org/marigoldmill/core/placement/EngineSharesTest.java
@@ -41,6 +41,35 @@
       assertThat(assignments).isEqualTo(engines);
     }
 
+    @Property(tries = 300, seed = "17")
+    void should_give_every_model_its_part_of_the_fast_and_the_slow_engines(
+        @ForAll @IntRange(min = 1, max = 6) int models,
+        @ForAll @IntRange(min = 0, max = 9) int fast,
+        @ForAll @IntRange(min = 0, max = 9) int slow) {
+      // GIVEN
+      int engines = 40;
+      List<String> ids = ids(engines);
+      Map<String, Double> ms = new HashMap<>();
+      ids.forEach(id -> ms.put(id, 50.0));
+      ids.subList(0, fast).forEach(id -> ms.put(id, 23.0));
+      ids.subList(engines - slow, engines).forEach(id -> ms.put(id, 120.0));
+      Map<String, Double> demand = new HashMap<>();
+      IntStream.range(0, models).forEach(i -> demand.put("model-" + i, 1.0));
+      // WHEN
+      EngineShares shares = EngineShares.divide(ids, demand, ms);
+      // THEN
+      for (String model : demand.keySet()) {
+        Set<String> share = shares.engines(model);
+        assertThat(share.size()).isBetween(engines / models, engines / models + 1);
+        assertThat(share.stream().filter(ids.subList(0, fast)::contains).count())
+            .isBetween((long) (fast / models), fast / models + 1L);
+        assertThat(share.stream().filter(ids.subList(engines - slow, engines)::contains).count())
+            .isBetween(slow / models - 1L, slow / models + 2L);
+      }
+      assertThat(demand.keySet().stream().flatMap(m -> shares.engines(m).stream()))
+          .containsExactlyInAnyOrderElementsOf(ids);
+    }
+
     @Property(tries = 300, seed = "13")
     void should_reassign_few_engines_when_one_leaves(
         @ForAll @IntRange(min = 20, max = 60) int engines, @ForAll long seed) {
--- a/server/src/main/java/org/marigoldmill/server/batch/ItemRunner.java
+++ b/server/src/main/java/org/marigoldmill/server/batch/ItemRunner.java
@@ -8,6 +8,7 @@
 import org.marigoldmill.core.limit.Urgency;
 import org.marigoldmill.core.placement.Engine;
 import org.marigoldmill.core.placement.EngineLoads;
+import org.marigoldmill.core.placement.EngineTimes;
 import org.marigoldmill.core.placement.RunLengths;
 import org.marigoldmill.core.route.Route;
 import org.marigoldmill.core.submission.EventReader;
@@ -195,6 +196,8 @@
     EventReader reader = new EventReader(sender.protocol().versionField());
     byte[] buffer = new byte[READ_BUFFER_BYTES];
     final long startedAtMs = clock.now();
+    long firstEventAtMs = startedAtMs;
+    int firstEvents = 0;
     long lastEventAtMs = startedAtMs;
     StallDetector stall = new StallDetector(MAX_EVENT_GAP_MS, startedAtMs);
     int events = 0;
@@ -207,6 +210,10 @@
           loads.recordProgress(
               engine.id(), Math.max(1.0, (double) (now - lastEventAtMs) / newEvents.size()));
         }
+        if (events == 0) {
+          firstEventAtMs = now;
+          firstEvents = newEvents.size();
+        }
         lastEventAtMs = now;
       }
       if (stall.stalledAfter(newEvents.size(), clock.now())) {
@@ -221,6 +228,10 @@
         events++;
       }
     }
+    int timedEvents = events - firstEvents;
+    if (timedEvents >= EngineTimes.MIN_EVENTS) {
+      task.recordEngineMsPerEvent((double) (lastEventAtMs - firstEventAtMs) / timedEvents);
+    }
     long durationMs = clock.now() - startedAtMs;
     boolean complete = !reader.hasPartialEvent() && task.text().lastEventId().isPresent();
     if (!complete) {
@@ -296,6 +307,8 @@
             .setText(task.text().text())
             .addAllVersions(task.text().versions())
             .setScore(score.get())
+            .setEngine(task.engineId())
+            .setMsPerEvent(task.engineMsPerEvent())
             .build();
     storeResult(task, result);
   }
--- a/server/src/main/java/org/marigoldmill/server/batch/ItemTask.java
+++ b/server/src/main/java/org/marigoldmill/server/batch/ItemTask.java
@@ -24,6 +24,7 @@
   private volatile long startedAtMs;
   private volatile long notBeforeMs = Long.MIN_VALUE;
   private Cancellation attemptCancellation = new Cancellation();
+  private volatile double engineMsPerEvent;
   private volatile int attempts;
   private int failures;
 
@@ -100,6 +101,7 @@
     engineSoftware = engine.softwareVersion();
     engineService = engine.service();
     startedAtMs = nowMs;
+    engineMsPerEvent = 0;
     moving = false;
     attempts++;
     running = true;
@@ -115,6 +117,15 @@
     return engineId;
   }
 
+  /** Returns the time for an event in the last attempt, in milliseconds; 0 if not measured. */
+  double engineMsPerEvent() {
+    return engineMsPerEvent;
+  }
+
+  void recordEngineMsPerEvent(double ms) {
+    engineMsPerEvent = ms;
+  }
+
   /** Returns the software version of the engine of the current or last attempt. */
   String engineSoftware() {
     return engineSoftware;
--- a/server/src/main/java/org/marigoldmill/server/batch/ModelEngineAllocator.java
+++ b/server/src/main/java/org/marigoldmill/server/batch/ModelEngineAllocator.java
@@ -61,8 +61,8 @@
   }
 
   /**
-   * Divides the engines of a service by the work of each model's newest submission; a model without
-   * submissions counts as the average of the others.
+   * Divides the engines of a service by the work of each model's newest submission and by the
+   * engines' speeds; a model without submissions counts as the average of the others.
    */
   private void allocate(
       DeploymentConfig.Service service,
@@ -86,7 +86,8 @@
                         .map(s -> (double) s.getWorkTokens())
                         .orElse(averageTokens)));
     EngineShares allocation =
-        EngineShares.divide(engines.stream().map(Engine::id).toList(), demand);
+        EngineShares.divide(
+            engines.stream().map(Engine::id).toList(), demand, partitions.engineTimes());
     for (String model : service.models()) {
       Set<String> ids = allocation.engines(model);
       allocated.put(
--- a/server/src/main/java/org/marigoldmill/server/batch/RolloutScheduler.java
+++ b/server/src/main/java/org/marigoldmill/server/batch/RolloutScheduler.java
@@ -290,6 +290,7 @@
     if (ready.isEmpty() || upstreamsLost.getAsBoolean()) {
       return;
     }
+    partitions.engineTimes().forEach(loads::assumeSpeed);
     EngineAllocation engines = allocator.allocation();
     ItemRouter router = new ItemRouter(deployment.config(), engines);
     Set<String> atLimit = new HashSet<>();
--- a/server/src/main/java/org/marigoldmill/server/batch/SubmissionPartitions.java
+++ b/server/src/main/java/org/marigoldmill/server/batch/SubmissionPartitions.java
@@ -2,12 +2,14 @@
 
 import com.google.common.flogger.FluentLogger;
 import java.util.List;
+import java.util.Map;
 import java.util.concurrent.Executor;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.IntFunction;
 import java.util.function.IntPredicate;
 import java.util.stream.IntStream;
 import java.util.stream.Stream;
+import org.marigoldmill.core.placement.EngineTimes;
 import org.marigoldmill.core.submission.PartitionState;
 import org.marigoldmill.schema.submission.Submission;
 import org.marigoldmill.server.Clock;
@@ -29,11 +31,19 @@
   /** Time after which partitions that cannot be read no longer hold up work on the others. */
   private static final long MAX_LOAD_WAIT_MS = 1_000;
 
+  /** Interval after which the times of engines are computed again. */
+  private static final long ENGINE_TIMES_INTERVAL_MS = 2_000;
+
+  /** Time before the newest submission in which results tell how fast an engine is. */
+  private static final long ENGINE_TIMES_WINDOW_MS = 30_000;
+
   private final List<PartitionReplica> replicas;
   private final AtomicLong changeCount = new AtomicLong();
   private final Clock clock;
   private boolean followed;
   private long followedSinceMs;
+  private Map<String, Double> engineTimes = Map.of();
+  private long engineTimesUntilMs = Long.MIN_VALUE;
 
   /**
    * Creates a replica of each partition.
@@ -117,6 +127,35 @@
     return states().flatMap(s -> s.submissions().stream()).toList();
   }
 
+  /**
+   * Returns the time that each engine took for an event in recent submissions, in milliseconds;
+   * engines with few results are left out.
+   *
+   * <p>The times are those of stored results, so processes that have read the partitions agree on
+   * them, up to the interval in which they are computed.
+   */
+  public synchronized Map<String, Double> engineTimes() {
+    if (clock.now() >= engineTimesUntilMs) {
+      engineTimes = computeEngineTimes();
+      engineTimesUntilMs = clock.now() + ENGINE_TIMES_INTERVAL_MS;
+    }
+    return engineTimes;
+  }
+
+  private Map<String, Double> computeEngineTimes() {
+    long newestMs =
+        allSubmissions().stream().mapToLong(Submission::getAcceptedAtMs).max().orElse(0);
+    EngineTimes times = new EngineTimes();
+    states()
+        .flatMap(
+            state ->
+                state.submissions().stream()
+                    .filter(s -> s.getAcceptedAtMs() >= newestMs - ENGINE_TIMES_WINDOW_MS)
+                    .flatMap(s -> state.results(s.getId()).stream()))
+        .forEach(r -> times.add(r.getEngine(), r.getMsPerEvent()));
+    return times.medians();
+  }
+
   /**
    * Starts to delete the ended submissions that were accepted before a time.
    *
--- a/server/src/test/java/org/marigoldmill/server/batch/SubmissionPartitionsTest.java
+++ b/server/src/test/java/org/marigoldmill/server/batch/SubmissionPartitionsTest.java
@@ -3,9 +3,12 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.util.List;
+import java.util.Map;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.stream.IntStream;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
+import org.marigoldmill.schema.submission.ItemResult;
 import org.marigoldmill.schema.submission.RolloutItem;
 import org.marigoldmill.schema.submission.Submission;
 import org.marigoldmill.server.store.FaultyStore;
@@ -58,4 +61,67 @@
       assertThat(here.openSubmissions()).extracting(Submission::getId).containsExactly("s");
     }
   }
+
+  @Nested
+  class EngineTimes {
+    private static final long WINDOW_MS = 30_000;
+    private static final long INTERVAL_MS = 2_000;
+
+    private void store(String submission, long acceptedAtMs, String engine, double msPerEvent) {
+      List<RolloutItem> items =
+          IntStream.range(0, 3)
+              .mapToObj(i -> RolloutItem.newBuilder().setId(submission + i).build())
+              .toList();
+      Submission header =
+          Submission.newBuilder().setId(submission).setAcceptedAtMs(acceptedAtMs).build();
+      commit(elsewhere, s -> s.acceptanceRecords(header, items, APPEND_BYTES));
+      items.forEach(i -> storeResult(submission, i.getId(), engine, msPerEvent));
+    }
+
+    private void storeResult(String submission, String item, String engine, double msPerEvent) {
+      ItemResult result =
+          ItemResult.newBuilder()
+              .setSubmissionId(submission)
+              .setItemId(item)
+              .setCompleted(true)
+              .setEngine(engine)
+              .setMsPerEvent(msPerEvent)
+              .build();
+      commit(elsewhere, s -> s.resultRecords(result));
+    }
+
+    private Map<String, Double> timesHere() {
+      nowMs.addAndGet(INTERVAL_MS);
+      here.followAll(true);
+      here.replicas().get(0).follower().catchUp();
+      return here.engineTimes();
+    }
+
+    @Test
+    void should_be_those_of_results_that_another_instance_has_stored() {
+      // GIVEN
+      store("a", 1_000, "fast", 23);
+      store("b", 2_000, "slow", 50);
+      // WHEN, THEN
+      assertThat(timesHere()).isEqualTo(Map.of("fast", 23.0, "slow", 50.0));
+      assertThat(elsewhere.engineTimes()).isEqualTo(timesHere());
+    }
+
+    @Test
+    void should_forget_results_of_old_submissions() {
+      // GIVEN
+      store("a", 1_000, "gone", 23);
+      store("b", 1_001 + WINDOW_MS, "slow", 50);
+      // WHEN, THEN
+      assertThat(timesHere()).containsOnlyKeys("slow");
+    }
+
+    @Test
+    void should_be_unknown_when_a_former_build_stored_the_results() {
+      // GIVEN
+      store("a", 1_000, "", 0);
+      // WHEN, THEN
+      assertThat(timesHere()).isEmpty();
+    }
+  }
 }
