A new owner loads four partitions at a time

Callers saw: after an instance was lost or partitions were assigned anew, a trainer's step stood still for 2 to 6 s. Nine loads at two owners timed out and began anew; the last loads of another ended after 9.6 s.

Cause: an owner loads all 24 partitions at once.

The first partitions are usable at once. The bytes to load are as many as before.

--- a/server/src/main/java/org/marigoldmill/server/batch/SubmissionPartitions.java
+++ b/server/src/main/java/org/marigoldmill/server/batch/SubmissionPartitions.java
@@ -13,6 +13,7 @@
 import org.marigoldmill.core.submission.PartitionState;
 import org.marigoldmill.schema.submission.Submission;
 import org.marigoldmill.server.Clock;
+import org.marigoldmill.server.store.BoundedLoadStore;
 import org.marigoldmill.server.store.LogStore;
 import org.marigoldmill.server.store.PartitionReplica;
 import org.marigoldmill.server.store.Topic;
@@ -28,6 +29,9 @@
   private static final long APPEND_RETRY_MS = 50;
   private static final long DELETE_TIMEOUT_MS = 2_000;
 
+  /** Number of partitions that are loaded at a time; their pages share the instance's link. */
+  private static final int PARALLEL_LOADS = 4;
+
   /** Time after which partitions that cannot be read no longer hold up work on the others. */
   private static final long MAX_LOAD_WAIT_MS = 1_000;
 
@@ -54,10 +58,11 @@
    */
   public SubmissionPartitions(
       LogStore store, int count, int maxAppendBytes, Executor executor, Clock clock) {
+    LogStore boundedStore = new BoundedLoadStore(store, PARALLEL_LOADS);
     IntFunction<PartitionReplica> replica =
         p ->
             new PartitionReplica(
-                store,
+                boundedStore,
                 TOPIC,
                 p,
                 maxAppendBytes,
--- a/server/src/test/java/org/marigoldmill/server/batch/SubmissionPartitionsTest.java
+++ b/server/src/test/java/org/marigoldmill/server/batch/SubmissionPartitionsTest.java
@@ -2,8 +2,10 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.lang.reflect.Proxy;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.stream.IntStream;
 import org.junit.jupiter.api.Nested;
@@ -11,8 +13,15 @@
 import org.marigoldmill.schema.submission.ItemResult;
 import org.marigoldmill.schema.submission.RolloutItem;
 import org.marigoldmill.schema.submission.Submission;
+import org.marigoldmill.server.Clock;
+import org.marigoldmill.server.Pause;
+import org.marigoldmill.server.PeriodicTask;
 import org.marigoldmill.server.store.FaultyStore;
+import org.marigoldmill.server.store.LogStore;
+import org.marigoldmill.server.store.MemoryStore;
 import org.marigoldmill.server.store.PartitionReplica;
+import org.marigoldmill.server.store.StoreUnavailableException;
+import org.marigoldmill.server.store.Topic;
 
 class SubmissionPartitionsTest {
   private static final int APPEND_BYTES = 1 << 20;
@@ -124,4 +133,59 @@
       assertThat(timesHere()).isEmpty();
     }
   }
+
+  /** Loads over a link that bears only some at a time; others exceed the time limit of a read. */
+  @Nested
+  class Loads {
+    private static final int PARTITIONS = 24;
+    private static final int LOADS_IN_TIME = 8;
+    private static final long LOAD_MS = 20;
+
+    private final AtomicInteger loading = new AtomicInteger();
+    private final AtomicInteger failed = new AtomicInteger();
+    private final MemoryStore content = new MemoryStore();
+
+    private LogStore narrowStore() {
+      return (LogStore)
+          Proxy.newProxyInstance(
+              LogStore.class.getClassLoader(),
+              new Class<?>[] {LogStore.class},
+              (proxy, method, arguments) ->
+                  method.getName().equals("readLatest")
+                      ? load((Topic) arguments[0], (int) arguments[1])
+                      : method.invoke(content, arguments));
+    }
+
+    private LogStore.LatestRecords load(Topic topic, int partition) {
+      boolean inTime = loading.incrementAndGet() <= LOADS_IN_TIME;
+      Pause.millis(LOAD_MS);
+      loading.decrementAndGet();
+      if (!inTime) {
+        failed.incrementAndGet();
+        throw new StoreUnavailableException("no answer in time");
+      }
+      return content.readLatest(topic, partition);
+    }
+
+    /** A new owner read partitions for seconds, again and again, and items of its model waited. */
+    @Test
+    void should_all_succeed_the_first_time_when_an_instance_takes_over_a_model() {
+      // GIVEN
+      SubmissionPartitions partitions =
+          new SubmissionPartitions(
+              narrowStore(), PARTITIONS, APPEND_BYTES, Runnable::run, Clock.monotonic());
+      partitions.followAll(true);
+      // WHEN
+      List<PeriodicTask> followers =
+          partitions.replicas().stream()
+              .map(r -> PeriodicTask.start(0, "partition", r::pollOnce))
+              .toList();
+      while (!partitions.replicas().stream().allMatch(PartitionReplica::current)) {
+        Pause.millis(LOAD_MS);
+      }
+      PeriodicTask.stopAll(followers, TIMEOUT_MS);
+      // THEN
+      assertThat(failed).hasValue(0);
+    }
+  }
 }
