A new owner does not wait for a record of each partition that it had read before

Callers saw: after each take-over of a model its step stood still for a second more.

Cause: a partition that an instance had read for a caller and then left at rest is followed again with a long poll. Only its answer, up to 2 s later, confirms that nothing is missing; the owner goes on after 1 s without it.

Evidence: PartitionReplicaTest should_be_current_without_a_wait_for_records_when_it_is_followed_after_a_rest fails before.

Change: the first read after a rest does not wait. It costs one read more whenever a replica at rest is followed.

--- a/server/src/main/java/org/marigoldmill/server/store/PartitionReplica.java
+++ b/server/src/main/java/org/marigoldmill/server/store/PartitionReplica.java
@@ -155,7 +155,8 @@
       follower.stopWatching();
       demand.await();
     }
-    follower.pollOnce(Math.min(waitMs, demand.remainingMs()));
+    // A read that waits for records would tell only at its end that none is missing.
+    follower.pollOnce(current() ? Math.min(waitMs, demand.remainingMs()) : 0);
   }
 
   /**
--- a/server/src/test/java/org/marigoldmill/server/store/PartitionReplicaTest.java
+++ b/server/src/test/java/org/marigoldmill/server/store/PartitionReplicaTest.java
@@ -4,7 +4,9 @@
 
 import java.util.List;
 import java.util.OptionalLong;
+import java.util.Queue;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.BooleanSupplier;
@@ -32,6 +34,7 @@
   private static final class CountingStore implements LogStore {
     private final FaultyStore store = new FaultyStore(1, 0);
     private final AtomicInteger reads = new AtomicInteger();
+    private final Queue<Long> waits = new ConcurrentLinkedQueue<>();
     private volatile CountDownLatch gate = new CountDownLatch(0);
 
     @Override
@@ -43,6 +46,7 @@
     @Override
     public ReadResult read(Topic topic, int partition, long fromOffset, long waitMs) {
       reads.incrementAndGet();
+      waits.add(waitMs);
       try {
         gate.await();
       } catch (InterruptedException e) {
@@ -95,6 +99,19 @@
     await(() -> replica.state().submission("s").isPresent());
   }
 
+  /** A new owner of a model waited for a record of each partition before it started items. */
+  @Test
+  void should_be_current_without_a_wait_for_records_when_it_is_followed_after_a_rest() {
+    // GIVEN
+    assertThat(replica.follower().catchUp()).isTrue();
+    store.waits.clear();
+    // WHEN
+    replica.setFollowed(true);
+    await(replica::current);
+    // THEN
+    assertThat(store.waits.peek()).isZero();
+  }
+
   @Test
   void should_rest_again_when_the_time_to_follow_is_over() {
     // GIVEN
