--- a/server/src/main/java/org/marigoldmill/server/gateway/DisconnectDetector.java
+++ b/server/src/main/java/org/marigoldmill/server/gateway/DisconnectDetector.java
@@ -6,6 +6,7 @@
 import io.undertow.server.protocol.http.HttpServerConnection;
 import java.io.IOException;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.ConcurrentHashMap;
 import org.marigoldmill.http.Cancellation;
 import org.marigoldmill.server.Clock;
@@ -59,17 +60,24 @@
     if (!watched.containsKey(exchange)) {
       return;
     }
-    if (!exchange.getConnection().isOpen() || isConnectionClosed(exchange)) {
-      logger.atInfo().log(
-          "caller disconnected, cancelling request path=%s", exchange.getRequestPath());
-      cancellation.cancel();
-    }
+    Optional<String> cause = disconnectCause(exchange);
+    cause.ifPresent(
+        c -> {
+          logger.atInfo().log(
+              "caller disconnected, cancelling request path=%s cause=%s watched=%s",
+              exchange.getRequestPath(), c, watched.containsKey(exchange));
+          cancellation.cancel();
+        });
   }
 
-  private static boolean isConnectionClosed(HttpServerExchange exchange) {
+  /** Returns how the caller's connection has ended, or empty if it has not. */
+  private static Optional<String> disconnectCause(HttpServerExchange exchange) {
+    if (!exchange.getConnection().isOpen()) {
+      return Optional.of("connection closed");
+    }
     if (!(exchange.getConnection() instanceof HttpServerConnection connection)
         || connection.getExtraBytes() != null) {
-      return false;
+      return Optional.empty();
     }
     PooledByteBuffer pooled = connection.getByteBufferPool().allocate();
     boolean pushedBack = false;
@@ -80,10 +88,9 @@
         connection.ungetRequestBytes(pooled);
         pushedBack = true;
       }
-      return read < 0;
+      return read < 0 ? Optional.of("end of input") : Optional.empty();
     } catch (IOException e) {
-      logger.atFine().log("caller connection failed: %s", e.getMessage());
-      return true;
+      return Optional.of(e.toString());
     } finally {
       if (!pushedBack) {
         pooled.close();
