PartitionReplicaTest: a replica that was read in the same millisecond is current

The case of a rest that ends failed once in seven runs (expected 0, the first read waited): setFollowed came in the millisecond of the read before it, so the replica rightly counted as current without another read. The test now follows a millisecond later.

--- a/server/src/test/java/org/marigoldmill/server/store/PartitionReplicaTest.java
+++ b/server/src/test/java/org/marigoldmill/server/store/PartitionReplicaTest.java
@@ -104,6 +104,7 @@
   void should_be_current_without_a_wait_for_records_when_it_is_followed_after_a_rest() {
     // GIVEN
     assertThat(replica.follower().catchUp()).isTrue();
+    await(() -> replica.follower().ageMs() > 0);
     store.waits.clear();
     // WHEN
     replica.setFollowed(true);
