A new owner loads the partitions of its models' latest submissions first

Callers saw: steps stood still after a take-over for as long as the new owner loaded partitions, 1 s at least.

Cause: an owner cannot know which partitions hold the open submissions of its models, so it loads all in any order, and starts nothing until all are loaded or a second has passed.

SubmissionPartitionsTest should_be_current_when_the_partitions_of_the_latest_submissions_are_loaded: before, current() was false there for a second.

Change: the instance that accepts a submission tells so in the log fleet, which every owner reads before it loads; the partitions of the latest eight submissions of its models go first, and once they are loaded it starts.

--- a/server/src/main/java/org/marigoldmill/server/DeploymentInstance.java
+++ b/server/src/main/java/org/marigoldmill/server/DeploymentInstance.java
@@ -11,11 +11,14 @@
 import java.util.Queue;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.Executor;
 import java.util.concurrent.ExecutorService;
+import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.SynchronousQueue;
 import java.util.concurrent.ThreadPoolExecutor;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 import java.util.random.RandomGenerator;
 import org.marigoldmill.core.limit.EngineLimits;
@@ -29,6 +32,7 @@
 import org.marigoldmill.core.weights.LoadQueue;
 import org.marigoldmill.http.HttpClient;
 import org.marigoldmill.schema.settings.DeploymentSettings;
+import org.marigoldmill.schema.submission.Submission;
 import org.marigoldmill.server.batch.ModelEngineAllocator;
 import org.marigoldmill.server.batch.RolloutMembership;
 import org.marigoldmill.server.batch.Rollouts;
@@ -101,6 +105,7 @@
   private static final int IDLE_THREAD_SECONDS = 5;
   private static final int MAX_ITEM_THREADS = 256;
   private static final int MAX_PROBE_THREADS = 2;
+  private static final int MAX_ANNOUNCEMENT_THREADS = 2;
 
   private final DeploymentSettings settings;
   private final PlatformPorts ports;
@@ -262,7 +267,9 @@
             ports.callers(),
             chunkBytes(),
             () -> operatorFollower.unreachableMs() >= STORE_LOST_MS,
+            announcements(),
             clock);
+    partitions.setLatestSubmissions(() -> fleet.latestSubmissions(membership::ownsModel));
     this.gateway =
         new Gateway(
             ports.callers(),
@@ -285,6 +292,18 @@
     startTasks(usage, loads, client, answers);
   }
 
+  /** Tells the others of accepted submissions; a caller's answer does not wait for that. */
+  private Consumer<Submission> announcements() {
+    Executor executor = pool("announcements", MAX_ANNOUNCEMENT_THREADS);
+    return submission -> {
+      try {
+        executor.execute(() -> fleet.publishAccepted(submission));
+      } catch (RejectedExecutionException e) {
+        logger.atInfo().log("submission not announced id=%s cause=no thread", submission.getId());
+      }
+    };
+  }
+
   private Optional<BackgroundGate> backgroundGate() {
     return settings.getBalanceByEstimate() && settings.getBackgroundWindow()
         ? Optional.of(new BackgroundGate(upstreams, clock))
--- a/server/src/main/java/org/marigoldmill/server/batch/RolloutScheduler.java
+++ b/server/src/main/java/org/marigoldmill/server/batch/RolloutScheduler.java
@@ -141,9 +141,12 @@
    */
   public void scheduleOnce() {
     long changeCount = partitions.changeCount();
-    boolean needed;
+    boolean needed = partitionsNeeded();
+    if (needed && !partitions.followed()) {
+      // Tells which partitions hold the submissions of the models that this instance has got.
+      fleet.follower().catchUp();
+    }
     synchronized (this) {
-      needed = !tasks.isEmpty() || allocator.models().stream().anyMatch(membership::ownsModel);
       partitions.followAll(needed);
     }
     boolean ready = needed && partitions.current();
@@ -160,6 +163,10 @@
     partitions.awaitChange(changeCount, needed ? ROUND_INTERVAL_MS : IDLE_INTERVAL_MS);
   }
 
+  private synchronized boolean partitionsNeeded() {
+    return !tasks.isEmpty() || allocator.models().stream().anyMatch(membership::ownsModel);
+  }
+
   /** Returns whether this instance has models or items, and has read the partitions. */
   boolean active() {
     return active;
--- a/server/src/main/java/org/marigoldmill/server/batch/SubmissionPartitions.java
+++ b/server/src/main/java/org/marigoldmill/server/batch/SubmissionPartitions.java
@@ -7,6 +7,7 @@
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.IntFunction;
 import java.util.function.IntPredicate;
+import java.util.function.Supplier;
 import java.util.stream.IntStream;
 import java.util.stream.Stream;
 import org.marigoldmill.core.placement.EngineTimes;
@@ -43,6 +44,7 @@
 
   private final List<PartitionReplica> replicas;
   private final AtomicLong changeCount = new AtomicLong();
+  private volatile Supplier<List<String>> latestSubmissions = List::of;
   private final Clock clock;
   private boolean followed;
   private long followedSinceMs;
@@ -58,7 +60,8 @@
    */
   public SubmissionPartitions(
       LogStore store, int count, int maxAppendBytes, Executor executor, Clock clock) {
-    LogStore boundedStore = new BoundedLoadStore(store, PARALLEL_LOADS);
+    LogStore boundedStore =
+        new BoundedLoadStore(store, PARALLEL_LOADS, this::partitionsLoadedFirst);
     IntFunction<PartitionReplica> replica =
         p ->
             new PartitionReplica(
@@ -75,6 +78,18 @@
     this.replicas = IntStream.range(0, count).mapToObj(replica).toList();
   }
 
+  /**
+   * Sets what tells the ids of submissions that this instance may have to work on, most urgent
+   * first. Their partitions are loaded before others.
+   */
+  public void setLatestSubmissions(Supplier<List<String>> latest) {
+    latestSubmissions = latest;
+  }
+
+  private List<Integer> partitionsLoadedFirst() {
+    return latestSubmissions.get().stream().map(this::partitionOf).distinct().toList();
+  }
+
   /** Returns the replicas in the order of their partitions. */
   public List<PartitionReplica> replicas() {
     return replicas;
@@ -101,16 +116,28 @@
     replicas.forEach(r -> r.setFollowed(follow));
   }
 
+  /** Returns whether all partitions are followed until further notice. */
+  public synchronized boolean followed() {
+    return followed;
+  }
+
   /**
-   * Returns whether all partitions are followed and up to date, as far as they could be read in
-   * reasonable time.
+   * Returns whether all partitions are followed, and those with submissions to work on are up to
+   * date, as far as that is known and they could be read in reasonable time.
    */
   public synchronized boolean current() {
     return followed
         && (replicas.stream().allMatch(PartitionReplica::current)
+            || latestAreCurrent()
             || clock.now() - followedSinceMs > MAX_LOAD_WAIT_MS);
   }
 
+  private boolean latestAreCurrent() {
+    List<Integer> first = partitionsLoadedFirst();
+    return !first.isEmpty()
+        && first.stream().map(replicas::get).allMatch(PartitionReplica::current);
+  }
+
   /** Returns the number of partitions that are followed now. */
   public long followedCount() {
     return replicas.stream().filter(PartitionReplica::followed).count();
--- a/server/src/main/java/org/marigoldmill/server/duty/FleetLog.java
+++ b/server/src/main/java/org/marigoldmill/server/duty/FleetLog.java
@@ -1,6 +1,8 @@
 package org.marigoldmill.server.duty;
 
 import com.google.protobuf.InvalidProtocolBufferException;
+import java.util.ArrayDeque;
+import java.util.Deque;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -8,11 +10,13 @@
 import java.util.TreeMap;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.LongSupplier;
+import java.util.function.Predicate;
 import org.marigoldmill.core.submission.KeyedRecord;
 import org.marigoldmill.core.usage.WindowTallies;
 import org.marigoldmill.core.weights.EngineVersions;
 import org.marigoldmill.core.weights.LoadQueue;
 import org.marigoldmill.core.weights.WeightPlan;
+import org.marigoldmill.schema.fleet.AcceptedSubmission;
 import org.marigoldmill.schema.fleet.FleetRecord;
 import org.marigoldmill.schema.fleet.KeptItems;
 import org.marigoldmill.schema.fleet.OrderedWeights;
@@ -20,6 +24,7 @@
 import org.marigoldmill.schema.fleet.UsageTally;
 import org.marigoldmill.schema.fleet.WantedWeights;
 import org.marigoldmill.schema.log.Usage;
+import org.marigoldmill.schema.submission.Submission;
 import org.marigoldmill.server.Clock;
 import org.marigoldmill.server.deployment.EngineRegistry;
 import org.marigoldmill.server.store.LogStore;
@@ -30,8 +35,8 @@
 /**
  * Log that the instances of a deployment share, read by those that have or may get a duty.
  *
- * <p>It carries counted usage, sealed usage windows, wanted loads and accepted weight orders, and
- * items still in progress on stopping instances.
+ * <p>It carries counted usage, sealed usage windows, wanted loads and accepted weight orders, items
+ * still in progress on stopping instances, and which submissions have been accepted.
  */
 public final class FleetLog implements PartitionFollower.Sink {
   /** Topic that stores the log. */
@@ -45,6 +50,11 @@
   public record WantedLoad(WeightPlan.Load load, long incarnation) {}
 
   private static final int MAX_SEALED_WINDOWS = 64;
+  private static final int MAX_ACCEPTED_SUBMISSIONS = 1_024;
+
+  /** Steps that trainers request ahead, of all models of an owner together. */
+  private static final int MAX_LATEST_SUBMISSIONS = 8;
+
   private static final long READ_WAIT_MS = 2_000;
 
   private final LogStore store;
@@ -54,6 +64,7 @@
   private final LoadQueue loads;
   private final LongSupplier unixMs;
   private final Map<String, Long> itemsInProgressUntil = new ConcurrentHashMap<>();
+  private final Deque<AcceptedSubmission> accepted = new ArrayDeque<>();
   private final Clock clock;
   private final PartitionFollower follower;
   private final WindowTallies tallies = new WindowTallies();
@@ -135,6 +146,26 @@
             .setKept(KeptItems.newBuilder().addAllItems(items).setUntilUnixMs(untilUnixMs)));
   }
 
+  /** Publishes that a submission has been stored. */
+  public LogStore.AppendOutcome publishAccepted(Submission submission) {
+    return append(
+        FleetRecord.newBuilder()
+            .setAccepted(
+                AcceptedSubmission.newBuilder()
+                    .setId(submission.getId())
+                    .setModel(submission.getModel())));
+  }
+
+  /** Returns the ids of submissions accepted lately for some models, latest first. */
+  public synchronized List<String> latestSubmissions(Predicate<String> model) {
+    return accepted.stream()
+        .filter(a -> model.test(a.getModel()))
+        .map(AcceptedSubmission::getId)
+        .distinct()
+        .limit(MAX_LATEST_SUBMISSIONS)
+        .toList();
+  }
+
   /**
    * Returns whether another instance still generates an item.
    *
@@ -191,6 +222,7 @@
       case ORDER -> recordAcceptedOrder(record.getOrder());
       case WANTED -> addWantedLoad(record.getWanted());
       case KEPT -> addItemsInProgress(record);
+      case ACCEPTED -> addAcceptedSubmission(record.getAccepted());
       default -> {
         // Written by a newer version of the software.
       }
@@ -211,6 +243,13 @@
             tally.getProcess(), tally.getNumber(), tally.getWindow(), requests));
   }
 
+  private void addAcceptedSubmission(AcceptedSubmission submission) {
+    accepted.addFirst(submission);
+    if (accepted.size() > MAX_ACCEPTED_SUBMISSIONS) {
+      accepted.removeLast();
+    }
+  }
+
   private void addItemsInProgress(FleetRecord record) {
     itemsInProgressUntil.values().removeIf(until -> until < unixMs.getAsLong());
     if (!record.getInstance().equals(instance)) {
--- a/server/src/main/java/org/marigoldmill/server/gateway/SubmissionService.java
+++ b/server/src/main/java/org/marigoldmill/server/gateway/SubmissionService.java
@@ -7,6 +7,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
 import java.util.function.BooleanSupplier;
+import java.util.function.Consumer;
 import org.marigoldmill.core.error.ErrorKind;
 import org.marigoldmill.core.error.MarigoldmillException;
 import org.marigoldmill.core.submission.PartitionState;
@@ -38,6 +39,7 @@
   private final CallerProtocol protocol;
   private final int chunkBytes;
   private final BooleanSupplier storeLost;
+  private final Consumer<Submission> onAccepted;
   private final Clock clock;
 
   /**
@@ -45,17 +47,20 @@
    *
    * @param chunkBytes largest size of the items in one record, in bytes
    * @param storeLost tells whether the store is known not to answer
+   * @param onAccepted receives each submission that is stored
    */
   public SubmissionService(
       SubmissionPartitions partitions,
       CallerProtocol protocol,
       int chunkBytes,
       BooleanSupplier storeLost,
+      Consumer<Submission> onAccepted,
       Clock clock) {
     this.partitions = partitions;
     this.protocol = protocol;
     this.chunkBytes = chunkBytes;
     this.storeLost = storeLost;
+    this.onAccepted = onAccepted;
     this.clock = clock;
   }
 
@@ -77,6 +82,9 @@
         submission.getMinVersion(),
         submitted.items().size(),
         result);
+    if (result == PartitionReplica.Result.HOLDS) {
+      onAccepted.accept(submission);
+    }
     return toResponse(result, 202);
   }
 
--- a/server/src/main/java/org/marigoldmill/server/store/BoundedLoadStore.java
+++ b/server/src/main/java/org/marigoldmill/server/store/BoundedLoadStore.java
@@ -1,9 +1,11 @@
 package org.marigoldmill.server.store;
 
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.OptionalLong;
-import java.util.concurrent.Semaphore;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
 import org.marigoldmill.core.submission.KeyedRecord;
 
 /**
@@ -19,35 +21,66 @@
   private static final long MAX_WAIT_MS = 3_000;
 
   private final LogStore store;
-  private final Semaphore loads;
+  private final int parallelLoads;
+  private final Supplier<List<Integer>> loadedFirst;
+  private final Set<Integer> waiting = new LinkedHashSet<>();
+  private int loading;
 
   /**
    * Creates a store over another one.
    *
    * @param parallelLoads number of partitions that are loaded at a time
+   * @param loadedFirst returns the partitions that go before others, most urgent first
    */
-  public BoundedLoadStore(LogStore store, int parallelLoads) {
+  public BoundedLoadStore(LogStore store, int parallelLoads, Supplier<List<Integer>> loadedFirst) {
     this.store = store;
-    this.loads = new Semaphore(parallelLoads, true);
+    this.parallelLoads = parallelLoads;
+    this.loadedFirst = loadedFirst;
   }
 
   @Override
   public LatestRecords readLatest(Topic topic, int partition) {
+    awaitTurn(partition);
     try {
-      if (!loads.tryAcquire(MAX_WAIT_MS, TimeUnit.MILLISECONDS)) {
-        throw new StoreUnavailableException("other partitions are still being loaded");
+      return store.readLatest(topic, partition);
+    } finally {
+      endLoad();
+    }
+  }
+
+  private synchronized void awaitTurn(int partition) {
+    long untilNs = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(MAX_WAIT_MS);
+    waiting.add(partition);
+    try {
+      while (loading >= parallelLoads || next() != partition) {
+        long leftMs = TimeUnit.NANOSECONDS.toMillis(untilNs - System.nanoTime());
+        if (leftMs <= 0) {
+          throw new StoreUnavailableException("other partitions are still being loaded");
+        }
+        wait(leftMs);
       }
+      loading++;
     } catch (InterruptedException e) {
       Thread.currentThread().interrupt();
       throw new StoreUnavailableException("load interrupted", e);
-    }
-    try {
-      return store.readLatest(topic, partition);
     } finally {
-      loads.release();
+      waiting.remove(partition);
+      notifyAll();
     }
   }
 
+  private synchronized void endLoad() {
+    loading--;
+    notifyAll();
+  }
+
+  private int next() {
+    return loadedFirst.get().stream()
+        .filter(waiting::contains)
+        .findFirst()
+        .orElseGet(() -> waiting.iterator().next());
+  }
+
   @Override
   public AppendResult append(
       Topic topic, int partition, OptionalLong expectedEndOffset, List<KeyedRecord> records) {
--- a/server/src/test/java/org/marigoldmill/server/batch/SubmissionPartitionsTest.java
+++ b/server/src/test/java/org/marigoldmill/server/batch/SubmissionPartitionsTest.java
@@ -2,11 +2,12 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-import java.lang.reflect.Proxy;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.IntFunction;
 import java.util.stream.IntStream;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
@@ -16,12 +17,12 @@
 import org.marigoldmill.server.Clock;
 import org.marigoldmill.server.Pause;
 import org.marigoldmill.server.PeriodicTask;
+import org.marigoldmill.server.store.CustomLoadStore;
 import org.marigoldmill.server.store.FaultyStore;
 import org.marigoldmill.server.store.LogStore;
 import org.marigoldmill.server.store.MemoryStore;
 import org.marigoldmill.server.store.PartitionReplica;
 import org.marigoldmill.server.store.StoreUnavailableException;
-import org.marigoldmill.server.store.Topic;
 
 class SubmissionPartitionsTest {
   private static final int APPEND_BYTES = 1 << 20;
@@ -139,24 +140,14 @@
   class Loads {
     private static final int PARTITIONS = 24;
     private static final int LOADS_IN_TIME = 8;
+    private static final String SUBMISSION = "s";
     private static final long LOAD_MS = 20;
 
     private final AtomicInteger loading = new AtomicInteger();
     private final AtomicInteger failed = new AtomicInteger();
     private final MemoryStore content = new MemoryStore();
 
-    private LogStore narrowStore() {
-      return (LogStore)
-          Proxy.newProxyInstance(
-              LogStore.class.getClassLoader(),
-              new Class<?>[] {LogStore.class},
-              (proxy, method, arguments) ->
-                  method.getName().equals("readLatest")
-                      ? load((Topic) arguments[0], (int) arguments[1])
-                      : method.invoke(content, arguments));
-    }
-
-    private LogStore.LatestRecords load(Topic topic, int partition) {
+    private LogStore.LatestRecords load(int partition) {
       boolean inTime = loading.incrementAndGet() <= LOADS_IN_TIME;
       Pause.millis(LOAD_MS);
       loading.decrementAndGet();
@@ -164,16 +155,20 @@
         failed.incrementAndGet();
         throw new StoreUnavailableException("no answer in time");
       }
-      return content.readLatest(topic, partition);
+      return content.readLatest(SubmissionPartitions.TOPIC, partition);
+    }
+
+    private SubmissionPartitions partitions(IntFunction<LogStore.LatestRecords> load) {
+      LogStore store = new CustomLoadStore(content, load);
+      return new SubmissionPartitions(
+          store, PARTITIONS, APPEND_BYTES, Runnable::run, Clock.monotonic());
     }
 
     /** A new owner read partitions for seconds, again and again, and items of its model waited. */
     @Test
     void should_all_succeed_the_first_time_when_an_instance_takes_over_a_model() {
       // GIVEN
-      SubmissionPartitions partitions =
-          new SubmissionPartitions(
-              narrowStore(), PARTITIONS, APPEND_BYTES, Runnable::run, Clock.monotonic());
+      SubmissionPartitions partitions = partitions(this::load);
       partitions.followAll(true);
       // WHEN
       List<PeriodicTask> followers =
@@ -187,5 +182,38 @@
       // THEN
       assertThat(failed).hasValue(0);
     }
+
+    /** A new owner started nothing for a second, or until all partitions were loaded. */
+    @Test
+    void should_be_current_when_the_partitions_of_the_latest_submissions_are_loaded() {
+      // GIVEN
+      CountDownLatch others = new CountDownLatch(1);
+      SubmissionPartitions partitions =
+          partitions(
+              partition -> {
+                if (partition != SUBMISSION.hashCode() % PARTITIONS) {
+                  await(others);
+                }
+                return content.readLatest(SubmissionPartitions.TOPIC, partition);
+              });
+      partitions.setLatestSubmissions(() -> List.of(SUBMISSION));
+      partitions.followAll(true);
+      assertThat(partitions.current()).isFalse();
+      // WHEN
+      boolean loaded = partitions.replicaFor(SUBMISSION).follower().catchUp();
+      // THEN
+      assertThat(loaded).isTrue();
+      assertThat(partitions.current()).isTrue();
+      assertThat(partitions.openSubmissions()).isEmpty();
+      others.countDown();
+    }
+
+    private static void await(CountDownLatch latch) {
+      try {
+        latch.await();
+      } catch (InterruptedException e) {
+        Thread.currentThread().interrupt();
+      }
+    }
   }
 }
