Engines that do not answer get two probes; engines that answer with an error keep their slots

An engine whose last request failed got one item at a time; the oldest item came first, failed again, and kept all others from the only engine.

Change: only a request without any answer (refused, silent) makes an engine one to be probed: that is what an engine out of reach looks like. Two probes at a time, since a request may be unanswered for a reason of its own, again each time. Errors and cuts back off as they did before.

--- a/core/src/main/java/org/marigoldmill/core/placement/EngineLoads.java
+++ b/core/src/main/java/org/marigoldmill/core/placement/EngineLoads.java
@@ -27,9 +27,13 @@
   /** Share by which an event takes longer while all slots are in use; spreads equal engines. */
   private static final double FULL_SLOWDOWN = 0.25;
 
+  /** More than one, as a request may be unanswered for a reason of its own, and again each time. */
+  private static final int MAX_PROBES = 2;
+
   private static final class Load {
     private int running;
     private int failures;
+    private boolean unanswered;
     private long backoffUntilMs = Long.MIN_VALUE;
     private double msPerEvent;
   }
@@ -38,7 +42,7 @@
 
   /**
    * Chooses the engine with the lowest expected time for an event of one more request, and reserves
-   * a slot there. An engine whose last request failed comes after all others.
+   * a slot there. An engine that left its last request unanswered comes after all others.
    *
    * @param candidates engines that can serve the request
    * @param zone zone of this process; preferred among engines of equal time
@@ -46,13 +50,13 @@
    * @return the engine, or empty if none has a free slot and is out of back-off
    */
   public synchronized Optional<Engine> acquire(List<Engine> candidates, String zone, long nowMs) {
-    Comparator<Engine> soundFirst = Comparator.comparing(e -> load(e.id()).failures > 0);
+    Comparator<Engine> answeringFirst = Comparator.comparing(e -> load(e.id()).unanswered);
     Comparator<Engine> localFirst = Comparator.comparing(e -> !e.zone().equals(zone));
     Optional<Engine> chosen =
         candidates.stream()
             .filter(e -> freeSlots(e, nowMs) > 0)
             .min(
-                soundFirst
+                answeringFirst
                     .thenComparingDouble(this::msPerEventWithOneMore)
                     .thenComparing(localFirst)
                     .thenComparing(Engine::id));
@@ -71,6 +75,15 @@
     load.backoffUntilMs = Math.max(load.backoffUntilMs, nowMs + REFUSAL_BACKOFF_MS);
   }
 
+  /**
+   * Records a request without an answer, as of an engine out of reach; the back-off doubles with
+   * each consecutive failure.
+   */
+  public synchronized void recordUnanswered(String engine, long nowMs) {
+    recordFailure(engine, nowMs);
+    load(engine).unanswered = true;
+  }
+
   /** Records a failed request; the back-off doubles with each consecutive failure. */
   public synchronized void recordFailure(String engine, long nowMs) {
     Load load = load(engine);
@@ -81,7 +94,9 @@
 
   /** Records that an engine completed a request, which resets its count of failures. */
   public synchronized void recordCompleted(String engine) {
-    load(engine).failures = 0;
+    Load load = load(engine);
+    load.failures = 0;
+    load.unanswered = false;
   }
 
   /**
@@ -93,6 +108,7 @@
   public synchronized void recordProgress(String engine, double msPerEvent) {
     Load load = load(engine);
     load.failures = 0;
+    load.unanswered = false;
     load.msPerEvent =
         load.msPerEvent == 0
             ? msPerEvent
@@ -122,7 +138,7 @@
   /**
    * Returns how many more requests an engine may get now.
    *
-   * <p>An engine whose last request failed gets a single one, which finds out whether it answers:
+   * <p>An engine that left its last request unanswered gets few, which find out whether it answers:
    * others would wait as long for nothing.
    */
   public synchronized int freeSlots(Engine engine, long nowMs) {
@@ -130,7 +146,7 @@
     if (load.backoffUntilMs > nowMs) {
       return 0;
     }
-    int slots = load.failures == 0 ? engine.slots() : 1;
+    int slots = load.unanswered ? Math.min(MAX_PROBES, engine.slots()) : engine.slots();
     return Math.max(0, slots - load.running);
   }
 
--- a/server/src/main/java/org/marigoldmill/server/batch/ItemRunner.java
+++ b/server/src/main/java/org/marigoldmill/server/batch/ItemRunner.java
@@ -97,7 +97,7 @@
       complete = generate(task, engine);
     } catch (HttpCallException e) {
       if (!task.moving() && !task.cancelled()) {
-        loads.recordFailure(engine.id(), clock.now());
+        recordFailedCall(engine, e);
       }
       logAttemptEnded(task, engine, "call failed: " + e.reason());
     } catch (RuntimeException e) {
@@ -124,6 +124,13 @@
     }
   }
 
+  private void recordFailedCall(Engine engine, HttpCallException failure) {
+    switch (failure.reason()) {
+      case CONNECT, SILENT -> loads.recordUnanswered(engine.id(), clock.now());
+      default -> loads.recordFailure(engine.id(), clock.now());
+    }
+  }
+
   /** Returns whether the text is complete. */
   private boolean generate(ItemTask task, Engine engine) {
     RolloutItem item = task.item();
