--- a/bench/src/main/java/org/marigoldmill/bench/emulator/EmulatedItem.java
+++ b/bench/src/main/java/org/marigoldmill/bench/emulator/EmulatedItem.java
@@ -23,6 +23,11 @@
     this.expectedEvents = expectedEvents;
   }
 
+  /** Returns the same item as a part of a later step. */
+  EmulatedItem again(EmulatedStep laterStep, int laterGroup) {
+    return new EmulatedItem(laterStep, id, laterGroup, events, expectedEvents);
+  }
+
   EmulatedStep step() {
     return step;
   }
@@ -79,6 +84,11 @@
         : OptionalDouble.of((now - firstEventAtMs) / runEvents);
   }
 
+  /** Discards the events that have been generated. */
+  void restart() {
+    generatedEvents = 0;
+  }
+
   /** Ends the run; whole events that have been generated are kept. */
   void stop() {
     engine = "";
--- a/bench/src/main/java/org/marigoldmill/bench/emulator/EmulatedStep.java
+++ b/bench/src/main/java/org/marigoldmill/bench/emulator/EmulatedStep.java
@@ -4,6 +4,8 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.TreeMap;
+import java.util.stream.Collectors;
 
 /** A step of a trainer: its items and the completion times of its groups. */
 final class EmulatedStep {
@@ -11,16 +13,24 @@
   private final long submittedAtMs;
   private final long minVersion;
   private final int wantedGroups;
+  private final int requiredGroups;
   private final List<EmulatedItem> items = new ArrayList<>();
   private final Map<Integer, Integer> unfinishedByGroup = new HashMap<>();
   private final List<Long> completionTimesMs = new ArrayList<>();
   private boolean ended;
 
-  EmulatedStep(String model, long askedAt, long minVersion, int wantedGroups) {
+  /**
+   * Creates a step without items.
+   *
+   * @param wantedGroups number of complete groups at which it ends
+   * @param requiredGroups number of groups, the first ones, without which it does not end
+   */
+  EmulatedStep(String model, long askedAt, long minVersion, int wantedGroups, int requiredGroups) {
     this.model = model;
     this.submittedAtMs = askedAt;
     this.minVersion = minVersion;
     this.wantedGroups = wantedGroups;
+    this.requiredGroups = requiredGroups;
   }
 
   void add(EmulatedItem item) {
@@ -60,7 +70,19 @@
   }
 
   boolean hasWantedGroups() {
-    return completionTimesMs.size() >= wantedGroups;
+    return completionTimesMs.size() >= wantedGroups
+        && unfinishedByGroup.entrySet().stream()
+            .allMatch(e -> e.getKey() >= requiredGroups || e.getValue() == 0);
+  }
+
+  /** Returns the items of each group that lacks one. */
+  List<List<EmulatedItem>> incompleteGroups() {
+    return items.stream()
+        .filter(i -> unfinishedByGroup.get(i.group()) > 0)
+        .collect(Collectors.groupingBy(EmulatedItem::group, TreeMap::new, Collectors.toList()))
+        .values()
+        .stream()
+        .toList();
   }
 
   boolean ended() {
--- a/bench/src/main/java/org/marigoldmill/bench/emulator/EmulatedTrainer.java
+++ b/bench/src/main/java/org/marigoldmill/bench/emulator/EmulatedTrainer.java
@@ -21,6 +21,7 @@
   private long publishedAtMs;
   private long trainingEndMs = Long.MAX_VALUE;
   private int submittedSteps;
+  private List<List<EmulatedItem>> returningGroups = List.of();
 
   EmulatedTrainer(String model, EmulatorScenario scenario, Random random) {
     this.model = model;
@@ -66,6 +67,9 @@
         .ifPresent(
             s -> {
               s.end();
+              if (scenario.getGroupsReturn()) {
+                returningGroups = s.incompleteGroups();
+              }
               trainingEndMs = now + scenario.getTrainMs();
             });
     if (now >= trainingEndMs) {
@@ -85,8 +89,14 @@
 
   private void submitStep(long now) {
     int wanted = (int) Math.ceil(scenario.getWantedShare() * scenario.getGroups());
-    EmulatedStep step = new EmulatedStep(model, now, nextMinVersion(), wanted);
-    for (int group = 0; group < scenario.getGroups(); group++) {
+    List<List<EmulatedItem>> returning = returningGroups.stream().limit(wanted / 2).toList();
+    EmulatedStep step = new EmulatedStep(model, now, nextMinVersion(), wanted, returning.size());
+    for (int group = 0; group < returning.size(); group++) {
+      for (EmulatedItem item : returning.get(group)) {
+        step.add(item.again(step, group));
+      }
+    }
+    for (int group = returning.size(); group < scenario.getGroups(); group++) {
       for (int i = 0; i < scenario.getGroupSize(); i++) {
         int events = sampleEventCount();
         double error = Math.exp(scenario.getHintSpread() * random.nextGaussian());
--- a/bench/src/main/java/org/marigoldmill/bench/emulator/Emulator.java
+++ b/bench/src/main/java/org/marigoldmill/bench/emulator/Emulator.java
@@ -29,8 +29,7 @@
  * }</pre>
  *
  * <p>Simplifications: all instances share one state without delay; calls take no time beyond the
- * times in the scenario; reward calls and callers' requests are not simulated; groups that are not
- * complete at the end of a step are not submitted again.
+ * times in the scenario; reward calls and callers' requests are not simulated.
  */
 public final class Emulator {
   private static final long TICK_MS = 5;
@@ -61,6 +60,7 @@
   private final Map<String, LoadAnnouncements> announcements = new HashMap<>();
   private final Map<String, Long> lastEventAtMs = new HashMap<>();
   private Map<String, List<Engine>> shares = Map.of();
+  private long itemsStartFromMs;
   private int enginesCreated;
   private int loadsStarted;
   private int moves;
@@ -106,6 +106,7 @@
     long end = scenario.getLengthMs() + scenario.getGiveUpMs();
     for (long now = 0; now < end; now += TICK_MS) {
       applyFaults(now);
+      loseOwners(now);
       generate(now);
       runPolicies(now);
     }
@@ -159,6 +160,23 @@
     }
   }
 
+  /** Ends all runs, whose texts are lost, whenever the instance that runs the items is lost. */
+  private void loseOwners(long now) {
+    long intervalMs = scenario.getOwnerLostEveryMs();
+    if (intervalMs == 0 || now == 0 || now % intervalMs != 0) {
+      return;
+    }
+    itemsStartFromMs = now + scenario.getTakeoverMs();
+    for (EmulatedEngine engine : engines.values()) {
+      List.copyOf(engine.running()).forEach(i -> stop(engine, i));
+    }
+    trainers.stream()
+        .flatMap(t -> t.openStep().stream())
+        .flatMap(s -> s.items().stream())
+        .filter(i -> !i.done())
+        .forEach(EmulatedItem::restart);
+  }
+
   private List<EmulatedEngine> firstEngines(int count) {
     return engines.values().stream().limit(count).toList();
   }
@@ -245,6 +263,9 @@
   }
 
   private void startItems(long now) {
+    if (now < itemsStartFromMs) {
+      return;
+    }
     for (EmulatedTrainer trainer : trainers) {
       EngineLoads placed = loads.get(trainer.model());
       for (EmulatedItem item : waiting(trainer)) {
--- a/bench/src/test/java/org/marigoldmill/bench/emulator/EmulatorTest.java
+++ b/bench/src/test/java/org/marigoldmill/bench/emulator/EmulatorTest.java
@@ -116,6 +116,42 @@
     }
   }
 
+  /** The instance that runs the items is lost more often than the longest texts take. */
+  @Nested
+  class LostOwners {
+    /** Highest share of its worth that the users want each kind of rollout to earn on a day. */
+    private static final double CLASS_FLOOR = 0.37;
+
+    private static EmulatorScenario lostOwners() {
+      return scenario(
+          s ->
+              s.setEngines(31)
+                  .setSlots(6)
+                  .setGroups(13)
+                  .setGroupSize(8)
+                  .setGroupsReturn(true)
+                  .setEventMs(46)
+                  .setEventMsPerRun(0.3)
+                  .setEventsMean(20)
+                  .setEventsSpread(1.2)
+                  .setEventsMax(143)
+                  .setTrainMs(1_000)
+                  .setParallelLoads(9)
+                  .setLengthMs(64_000)
+                  .setOwnerLostEveryMs(8_000));
+    }
+
+    /** SHORT: the longest texts were begun anew each time, so steps ended by their time limit. */
+    @Test
+    void should_serve_every_trainer_above_its_floor_when_texts_outlast_their_owners() {
+      assertThat(LongStream.range(0, SEEDS))
+          .allSatisfy(
+              seed ->
+                  assertThat(Emulator.simulate(lostOwners(), seed, "product").lowestWorth())
+                      .isGreaterThan(CLASS_FLOOR));
+    }
+  }
+
   @Nested
   class Policies {
     @Test
