Log which texts are dropped, which submissions are taken on, and which moves do not happen

Change: log lines only; the line of a move no longer lists the speeds of all engines, which was most of the log's volume.

--- a/server/src/main/java/org/marigoldmill/server/batch/ItemRunner.java
+++ b/server/src/main/java/org/marigoldmill/server/batch/ItemRunner.java
@@ -252,7 +252,7 @@
         task.submission().getSingleVersion() && task.text().versions().size() > 1;
     logger.atInfo().log(
         "item generated id=%s submission=%s engine=%s software=%s events=%d versions=%s ms=%d"
-            + " whole=%d estimate=%d attempts=%d",
+            + " whole=%d estimate=%d attempts=%d waited_ms=%d",
         task.item().getId(),
         task.submission().getId(),
         engine.id(),
@@ -262,7 +262,8 @@
         durationMs,
         task.generatedEvents(),
         estimatedEvents,
-        task.attempts());
+        task.attempts(),
+        task.firstWaitMs());
     if (mixedVersions) {
       task.text().restart();
     }
--- a/server/src/main/java/org/marigoldmill/server/batch/ItemTask.java
+++ b/server/src/main/java/org/marigoldmill/server/batch/ItemTask.java
@@ -27,17 +27,22 @@
   private volatile double engineMsPerEvent;
   private volatile int attempts;
   private int failures;
+  private final long createdAtMs;
+  private volatile long firstWaitMs;
 
   /**
    * Creates a task without an attempt.
    *
    * @param sendable whether the item can be sent; one that a former build accepted may not be
+   * @param createdAtMs current time of the clock, in milliseconds
    */
-  ItemTask(Submission submission, RolloutItem item, int position, boolean sendable) {
+  ItemTask(
+      Submission submission, RolloutItem item, int position, boolean sendable, long createdAtMs) {
     this.submission = submission;
     this.item = item;
     this.position = position;
     this.sendable = sendable;
+    this.createdAtMs = createdAtMs;
   }
 
   Submission submission() {
@@ -103,10 +108,18 @@
     startedAtMs = nowMs;
     engineMsPerEvent = 0;
     moving = false;
+    if (attempts == 0) {
+      firstWaitMs = nowMs - createdAtMs;
+    }
     attempts++;
     running = true;
   }
 
+  /** Returns the time from creation to the first attempt, in milliseconds. */
+  long firstWaitMs() {
+    return firstWaitMs;
+  }
+
   /** Returns the number of attempts that have been started. */
   int attempts() {
     return attempts;
--- a/server/src/main/java/org/marigoldmill/server/batch/RolloutScheduler.java
+++ b/server/src/main/java/org/marigoldmill/server/batch/RolloutScheduler.java
@@ -10,6 +10,7 @@
 import java.util.Set;
 import java.util.concurrent.Executor;
 import java.util.concurrent.RejectedExecutionException;
+import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 import java.util.stream.Collectors;
 import org.marigoldmill.core.continuation.Continuation;
@@ -255,15 +256,27 @@
       }
       List<RolloutItem> items =
           partitions.replicaFor(submission.getId()).state().openItems(submission.getId());
+      int added = 0;
       for (int i = 0; i < items.size(); i++) {
         RolloutItem item = items.get(i);
         String key = submission.getId() + "/" + item.getId();
         wanted.add(key);
-        if (!draining) {
-          int position = i;
-          tasks.computeIfAbsent(key, k -> newTask(submission, item, position));
+        if (!draining && !tasks.containsKey(key)) {
+          tasks.put(key, newTask(submission, item, i));
+          added++;
         }
       }
+      if (added > 0) {
+        logger.atInfo().log(
+            "submission taken on id=%s model=%s step=%d items=%d of=%d min_version=%d age_ms=%d",
+            submission.getId(),
+            submission.getModel(),
+            submission.getStep(),
+            added,
+            submission.getItemCount(),
+            submission.getMinVersion(),
+            System.currentTimeMillis() - submission.getAcceptedAtMs());
+      }
     }
     tasks
         .entrySet()
@@ -271,20 +284,36 @@
             e -> {
               boolean dropped = !wanted.contains(e.getKey());
               if (dropped) {
-                e.getValue().cancel();
+                drop(e.getValue());
               }
               return dropped;
             });
   }
 
-  private static ItemTask newTask(Submission submission, RolloutItem item, int position) {
+  private void drop(ItemTask task) {
+    boolean unfinished = partitions.lacksResult(task.submission().getId(), task.item().getId());
+    if (unfinished && task.generatedEvents() > 0) {
+      logger.atInfo().log(
+          "item dropped id=%s submission=%s step=%d events=%d remaining=%d versions=%s owned=%s",
+          task.item().getId(),
+          task.submission().getId(),
+          task.submission().getStep(),
+          task.generatedEvents(),
+          remainingEvents(task),
+          task.text().versions(),
+          membership.ownsModel(task.submission().getModel()));
+    }
+    task.cancel();
+  }
+
+  private ItemTask newTask(Submission submission, RolloutItem item, int position) {
     Optional<String> violation = ItemSyntax.violation(item);
     violation.ifPresent(
         v ->
             logger.atWarning().log(
                 "item never sent submission=%s position=%d cause=%s",
                 submission.getId(), position, v));
-    return new ItemTask(submission, item, position, violation.isEmpty());
+    return new ItemTask(submission, item, position, violation.isEmpty(), clock.now());
   }
 
   private void startReadyItems() {
@@ -401,13 +430,29 @@
     Map<ServedModel, Backlog> backlogs = backlogs(engines);
     running.forEach(
         (group, runs) -> {
-          if (backlogs.getOrDefault(group.served(), Backlog.NONE).waitingItems() == 0) {
-            moveSlowRuns(group, runs, engines.of(group.served()), now);
+          Set<String> due = itemsToMove(group, runs, engines.of(group.served()), now);
+          int waiting = backlogs.getOrDefault(group.served(), Backlog.NONE).waitingItems();
+          if (waiting == 0) {
+            runs.stream().filter(t -> due.contains(t.item().getId())).forEach(this::move);
+          } else if (!due.isEmpty()) {
+            logger.atInfo().atMostEvery(1, TimeUnit.SECONDS).log(
+                "items not moved model=%s items=%d waiting=%d",
+                group.served().model(), due.size(), waiting);
           }
         });
   }
 
-  private void moveSlowRuns(
+  private void move(ItemTask task) {
+    logger.atInfo().log(
+        "item moves id=%s engine=%s events=%d ms_per_event=%.0f",
+        task.item().getId(),
+        task.engineId(),
+        task.generatedEvents(),
+        loads.msPerEvent(task.engineId()));
+    task.move();
+  }
+
+  private Set<String> itemsToMove(
       RunGroup group, List<ItemTask> running, List<Engine> engines, long now) {
     String model = group.served().model();
     long minVersion =
@@ -439,16 +484,7 @@
             .map(ItemTask::engineId)
             .distinct()
             .collect(Collectors.toMap(e -> e, loads::msPerEvent));
-    Set<String> due = Set.copyOf(MovePolicy.itemsToMove(runs, speeds, rooms, now));
-    running.stream()
-        .filter(t -> due.contains(t.item().getId()))
-        .forEach(
-            t -> {
-              logger.atInfo().log(
-                  "item moves id=%s engine=%s events=%d speeds=%s rooms=%s",
-                  t.item().getId(), t.engineId(), t.generatedEvents(), speeds, rooms);
-              t.move();
-            });
+    return Set.copyOf(MovePolicy.itemsToMove(runs, speeds, rooms, now));
   }
 
   private void logAndRestart(ItemTask task, Engine engine) {
--- a/server/src/test/java/org/marigoldmill/server/batch/ItemSyntaxTest.java
+++ b/server/src/test/java/org/marigoldmill/server/batch/ItemSyntaxTest.java
@@ -67,7 +67,7 @@
   @Test
   void should_keep_a_task_from_starting_when_it_is_found() {
     Submission submission = Submission.getDefaultInstance();
-    assertThat(new ItemTask(submission, item().build(), 0, false).canStart(0)).isFalse();
-    assertThat(new ItemTask(submission, item().build(), 0, true).canStart(0)).isTrue();
+    assertThat(new ItemTask(submission, item().build(), 0, false, 0).canStart(0)).isFalse();
+    assertThat(new ItemTask(submission, item().build(), 0, true, 0).canStart(0)).isTrue();
   }
 }
