Unfinished texts outlive their owner and their step

Cause: a text was held only by the instance that generated it, and only for the submission that it was begun for. Each new owner, and each step that submits a group again, began it anew. Change: the owner stores what is new of texts of 16 events or more in the topic texts, twice a second, each part once; an instance that gets the model reads them first, and waits until a former owner that is still running has heard of it. What a step leaves unfinished is kept for the next one; texts that an earlier step has finished are scored again and not generated. A text is used only if all its versions fit, and for the same item: a digest of organisation, model, headers and body.

--- a/bench/src/main/java/org/marigoldmill/bench/emulator/EmulatedItem.java
+++ b/bench/src/main/java/org/marigoldmill/bench/emulator/EmulatedItem.java
@@ -1,6 +1,11 @@
 package org.marigoldmill.bench.emulator;
 
+import java.util.List;
 import java.util.OptionalDouble;
+import java.util.Set;
+import java.util.TreeSet;
+import org.marigoldmill.core.submission.CheckpointPolicy;
+import org.marigoldmill.core.submission.TextSnapshot;
 
 /** An item of a step: its length, its progress, and the engine that runs it. */
 final class EmulatedItem {
@@ -14,6 +19,9 @@
   private long firstEventAtMs;
   private long startedAtMs;
   private String engine = "";
+  private Set<Long> versions = new TreeSet<>();
+  private long storedEvents;
+  private Set<Long> storedVersions = Set.of();
 
   EmulatedItem(EmulatedStep step, String id, int group, int events, int expectedEvents) {
     this.step = step;
@@ -23,9 +31,22 @@
     this.expectedEvents = expectedEvents;
   }
 
-  /** Returns the same item as a part of a later step. */
+  /** Returns the same item as a part of a later step, with its unfinished text if that fits. */
   EmulatedItem again(EmulatedStep laterStep, int laterGroup) {
-    return new EmulatedItem(laterStep, id, laterGroup, events, expectedEvents);
+    EmulatedItem again = new EmulatedItem(laterStep, id, laterGroup, events, expectedEvents);
+    if (TextSnapshot.fits(List.copyOf(versions), laterStep.minVersion(), false)) {
+      again.generatedEvents = wholeEvents();
+      again.versions = new TreeSet<>(versions);
+    }
+    return again;
+  }
+
+  /** Stores the text so far if that is due. */
+  void storeIfDue() {
+    if (CheckpointPolicy.due(wholeEvents(), storedEvents)) {
+      storedEvents = wholeEvents();
+      storedVersions = Set.copyOf(versions);
+    }
   }
 
   EmulatedStep step() {
@@ -84,9 +105,10 @@
         : OptionalDouble.of((now - firstEventAtMs) / runEvents);
   }
 
-  /** Discards the events that have been generated. */
-  void restart() {
-    generatedEvents = 0;
+  /** Loses the events that are not stored. */
+  void loseOwner() {
+    generatedEvents = storedEvents;
+    versions = new TreeSet<>(storedVersions);
   }
 
   /** Ends the run; whole events that have been generated are kept. */
@@ -95,13 +117,22 @@
     generatedEvents = Math.floor(generatedEvents);
   }
 
-  /** Generates for the given time in ms; returns the number of events completed in it. */
-  int generate(long now, long ms, double eventMs) {
+  /**
+   * Generates for a time; returns the number of events completed in it.
+   *
+   * @param ms the time, in milliseconds
+   * @param version version of the engine's weights
+   */
+  int generate(long now, long ms, double eventMs, long version) {
     if (now < firstEventAtMs) {
       return 0;
     }
     double before = Math.floor(generatedEvents);
     generatedEvents = Math.min(events, generatedEvents + ms / eventMs);
-    return (int) (Math.floor(generatedEvents) - before);
+    int completed = (int) (Math.floor(generatedEvents) - before);
+    if (completed > 0) {
+      versions.add(version);
+    }
+    return completed;
   }
 }
--- a/bench/src/main/java/org/marigoldmill/bench/emulator/EmulatedTrainer.java
+++ b/bench/src/main/java/org/marigoldmill/bench/emulator/EmulatedTrainer.java
@@ -93,7 +93,11 @@
     EmulatedStep step = new EmulatedStep(model, now, nextMinVersion(), wanted, returning.size());
     for (int group = 0; group < returning.size(); group++) {
       for (EmulatedItem item : returning.get(group)) {
-        step.add(item.again(step, group));
+        EmulatedItem again = item.again(step, group);
+        step.add(again);
+        if (again.done()) {
+          step.recordFinished(again, now);
+        }
       }
     }
     for (int group = returning.size(); group < scenario.getGroups(); group++) {
--- a/bench/src/main/java/org/marigoldmill/bench/emulator/Emulator.java
+++ b/bench/src/main/java/org/marigoldmill/bench/emulator/Emulator.java
@@ -15,6 +15,7 @@
 import org.marigoldmill.core.placement.EngineTimes;
 import org.marigoldmill.core.placement.MovePolicy;
 import org.marigoldmill.core.placement.RunLengths;
+import org.marigoldmill.core.submission.CheckpointPolicy;
 import org.marigoldmill.core.weights.EngineVersions;
 import org.marigoldmill.core.weights.LoadAnnouncements;
 import org.marigoldmill.core.weights.LoadQueue;
@@ -132,6 +133,11 @@
     if (now % MOVE_INTERVAL_MS == 0) {
       moveItems(now);
     }
+    if (now % CheckpointPolicy.INTERVAL_MS == 0) {
+      engines.values().stream()
+          .flatMap(e -> e.running().stream())
+          .forEach(EmulatedItem::storeIfDue);
+    }
   }
 
   private void addEngine() {
@@ -160,7 +166,7 @@
     }
   }
 
-  /** Ends all runs, whose texts are lost, whenever the instance that runs the items is lost. */
+  /** Ends all runs, and loses what is not stored, when the instance that runs the items is lost. */
   private void loseOwners(long now) {
     long intervalMs = scenario.getOwnerLostEveryMs();
     if (intervalMs == 0 || now == 0 || now % intervalMs != 0) {
@@ -174,7 +180,7 @@
         .flatMap(t -> t.openStep().stream())
         .flatMap(s -> s.items().stream())
         .filter(i -> !i.done())
-        .forEach(EmulatedItem::restart);
+        .forEach(EmulatedItem::loseOwner);
   }
 
   private List<EmulatedEngine> firstEngines(int count) {
@@ -206,19 +212,19 @@
   }
 
   private void advance(EmulatedEngine engine, EmulatedItem item, long now, double eventMs) {
-    int events = item.generate(now, TICK_MS, eventMs);
+    String model = item.step().model();
+    int events = item.generate(now, TICK_MS, eventMs, engine.version(model));
     if (events > 0) {
       Long last = lastEventAtMs.put(item.id(), now);
       if (last != null && now - last < scenario.getLoadMs()) {
         double eventMsTaken = Math.max(1.0, (double) (now - last) / events);
-        loads.get(item.step().model()).recordProgress(engine.id(), eventMsTaken);
+        loads.get(model).recordProgress(engine.id(), eventMsTaken);
       }
-      versions.recordReportedVersion(
-          engine.id(), item.step().model(), engine.version(item.step().model()));
+      versions.recordReportedVersion(engine.id(), model, engine.version(model));
     }
     if (item.done()) {
       stop(engine, item);
-      lengths.recordEnded(item.step().model(), item.expectedEvents(), item.wholeEvents());
+      lengths.recordEnded(model, item.expectedEvents(), item.wholeEvents());
       item.generationMs(now, EngineTimes.MIN_EVENTS).ifPresent(ms -> times.add(engine.id(), ms));
       item.step().recordFinished(item, now);
     }
--- a/core/src/main/java/org/marigoldmill/core/submission/GeneratedText.java
+++ b/core/src/main/java/org/marigoldmill/core/submission/GeneratedText.java
@@ -5,7 +5,7 @@
 import java.util.OptionalLong;
 import java.util.TreeSet;
 
-/** The text generated for an item so far, across all of its runs. */
+/** The text generated for an item so far, across all of its runs. Thread-safe. */
 public final class GeneratedText {
   /** Largest text that is held in memory, in characters. */
   private static final int MAX_CHARACTERS = 4 * 1024 * 1024;
@@ -16,6 +16,7 @@
   private long version;
   private String runSoftwareVersion = "";
   private Optional<String> softwareVersion = Optional.empty();
+  private int restarts;
 
   /** Creates an empty text. */
   public GeneratedText() {}
@@ -27,7 +28,7 @@
    * @param engineSoftware version of the engine's software
    * @throws IllegalArgumentException if the text was begun with another version of the software
    */
-  public void startRun(long initialVersion, String engineSoftware) {
+  public synchronized void startRun(long initialVersion, String engineSoftware) {
     if (softwareVersion.filter(v -> !v.equals(engineSoftware)).isPresent()) {
       throw new IllegalArgumentException(
           "software version: expected " + softwareVersion.get() + " but was " + engineSoftware);
@@ -42,7 +43,7 @@
    * @throws IllegalArgumentException if its id does not directly follow the last event's, or the
    *     text would be larger than accepted
    */
-  public void append(GeneratedEvent event) {
+  public synchronized void append(GeneratedEvent event) {
     if (lastEventId.isPresent() && event.id() != lastEventId.getAsLong() + 1) {
       throw new IllegalArgumentException(
           "event id: expected " + (lastEventId.getAsLong() + 1) + " but was " + event.id());
@@ -62,30 +63,62 @@
   }
 
   /** Discards the text and its versions, so that generation restarts from the beginning. */
-  public void restart() {
+  public synchronized void restart() {
     text.setLength(0);
     versions.clear();
     softwareVersion = Optional.empty();
     lastEventId = OptionalLong.empty();
+    restarts++;
+  }
+
+  /** Returns how often the text has been discarded. */
+  public synchronized int restarts() {
+    return restarts;
+  }
+
+  /**
+   * Goes on from a text that another run has left; this one must be empty.
+   *
+   * @throws IllegalArgumentException if this text has an event
+   */
+  public synchronized void resume(TextSnapshot snapshot) {
+    if (lastEventId.isPresent()) {
+      throw new IllegalArgumentException(
+          "text: expected none but it ends with event " + lastEventId.getAsLong());
+    }
+    text.append(snapshot.text());
+    versions.addAll(snapshot.versions());
+    softwareVersion = Optional.of(snapshot.softwareVersion());
+    lastEventId = OptionalLong.of(snapshot.lastEventId());
+  }
+
+  /**
+   * Returns the text as it is now, or empty if there is none.
+   *
+   * @param service service whose engines generated it
+   */
+  public synchronized Optional<TextSnapshot> snapshot(String service) {
+    return softwareVersion.map(
+        v -> new TextSnapshot(text(), lastEventId.getAsLong(), versions(), v, service));
   }
 
   /** Returns the id of the last event, or empty if there is none. */
-  public OptionalLong lastEventId() {
+  public synchronized OptionalLong lastEventId() {
     return lastEventId;
   }
 
   /** Returns the versions of the weights that generated the text, oldest first. */
-  public List<Long> versions() {
+  public synchronized List<Long> versions() {
     return List.copyOf(versions);
   }
 
   /** Returns the version of the software that generated the text, or empty without a text. */
-  public Optional<String> softwareVersion() {
+  public synchronized Optional<String> softwareVersion() {
     return softwareVersion;
   }
 
   /** Returns the text, with the events' data joined by line feeds. */
-  public String text() {
+  public synchronized String text() {
     return text.toString();
   }
 }
--- a/server/src/main/java/org/marigoldmill/server/DeploymentInstance.java
+++ b/server/src/main/java/org/marigoldmill/server/DeploymentInstance.java
@@ -28,6 +28,7 @@
 import org.marigoldmill.core.relay.RelayPeers;
 import org.marigoldmill.core.route.DeploymentConfig;
 import org.marigoldmill.core.routing.UpstreamTable;
+import org.marigoldmill.core.submission.CheckpointPolicy;
 import org.marigoldmill.core.weights.EngineVersions;
 import org.marigoldmill.core.weights.LoadQueue;
 import org.marigoldmill.http.HttpClient;
@@ -37,6 +38,7 @@
 import org.marigoldmill.server.batch.RolloutMembership;
 import org.marigoldmill.server.batch.Rollouts;
 import org.marigoldmill.server.batch.SubmissionPartitions;
+import org.marigoldmill.server.batch.TextLog;
 import org.marigoldmill.server.deployment.DeploymentState;
 import org.marigoldmill.server.deployment.DutyApi;
 import org.marigoldmill.server.deployment.EngineRegistry;
@@ -100,6 +102,9 @@
   /** Upper bound for the clock difference between instances. */
   private static final long CLOCK_SKEW_MARGIN_MS = 10_000;
 
+  /** Time that an instance takes to end its runs once it hears that it has lost a partition. */
+  private static final long FORMER_OWNER_STOP_MS = 200;
+
   private static final long DRAIN_POLL_MS = 20;
   private static final long TASK_STOP_MS = 150;
   private static final int IDLE_THREAD_SECONDS = 5;
@@ -252,6 +257,7 @@
             limits,
             fleet,
             engineOrders,
+            textLog(store, process),
             pool("items", MAX_ITEM_THREADS),
             pathMonitor::isLost,
             metrics,
@@ -292,6 +298,23 @@
     startTasks(usage, loads, client, answers);
   }
 
+  private TextLog textLog(LogStore store, String process) {
+    return new TextLog(
+        store,
+        process,
+        partitions::partitionOf,
+        settings.getRecordBytes(),
+        settings.getCallBytes(),
+        membershipIntervalMs() + FORMER_OWNER_STOP_MS,
+        pool("texts", settings.getPartitions()),
+        clock);
+  }
+
+  /** Returns the interval at which an instance hears that it has lost a partition. */
+  private long membershipIntervalMs() {
+    return settings.getGroupTtlMs() / 3;
+  }
+
   /** Tells the others of accepted submissions; a caller's answer does not wait for that. */
   private Consumer<Submission> announcements() {
     Executor executor = pool("announcements", MAX_ANNOUNCEMENT_THREADS);
@@ -516,7 +539,7 @@
 
   private void startTasks(
       UsageCounter usage, LoadQueue loads, HttpClient client, AnswerObserver answers) {
-    startTask(settings.getGroupTtlMs() / 3, "membership", membership::joinOrRenew);
+    startTask(membershipIntervalMs(), "membership", membership::joinOrRenew);
     startTask(duties::intervalMs, "lease", duties::claimLeaseIfDue);
     startTask(
         HANDOVER_INTERVAL_MS,
@@ -542,6 +565,7 @@
             clock);
     startTask(duties::intervalMs, "weights", orderDispatcher::sendOrders);
     startTask(duties::intervalMs, "weight-plan", rollouts::planWeights);
+    startTask(CheckpointPolicy.INTERVAL_MS, "texts", rollouts::storeTexts);
     startTask(DIRECTORY_INTERVAL_MS, "instances", directory::publishDue);
     startTask(0, "upstream-path", () -> pathMonitor.checkOnce(client));
     startTask(
--- a/server/src/main/java/org/marigoldmill/server/batch/ItemRunner.java
+++ b/server/src/main/java/org/marigoldmill/server/batch/ItemRunner.java
@@ -113,7 +113,13 @@
     }
     try {
       if (complete && !task.cancelled()) {
-        scoreAndStore(task);
+        scoreAndStore(
+            task,
+            resultBuilder(task)
+                .setText(task.text().text())
+                .addAllVersions(task.text().versions())
+                .setEngine(task.engineId())
+                .setMsPerEvent(task.engineMsPerEvent()));
       }
     } catch (RuntimeException e) {
       logger.atWarning().withCause(e).log(
@@ -124,6 +130,21 @@
     }
   }
 
+  /** Scores and stores an item whose text an earlier step has finished; never throws. */
+  void finish(ItemTask task, ItemResult earlier) {
+    try {
+      scoreAndStore(
+          task,
+          resultBuilder(task).setText(earlier.getText()).addAllVersions(earlier.getVersionsList()));
+    } catch (RuntimeException e) {
+      logger.atWarning().withCause(e).log(
+          "item result not stored, will retry id=%s", task.item().getId());
+    } finally {
+      task.endAttempt(clock.now() + ATTEMPT_RETRY_DELAY_MS);
+      partitions.notifyChanged();
+    }
+  }
+
   private void recordFailedCall(Engine engine, HttpCallException failure) {
     switch (failure.reason()) {
       case CONNECT, SILENT -> loads.recordUnanswered(engine.id(), clock.now());
@@ -304,21 +325,13 @@
     return event.isPresent() ? Long.toString(event.getAsLong()) : "none";
   }
 
-  private void scoreAndStore(ItemTask task) {
+  private void scoreAndStore(ItemTask task, ItemResult.Builder result) {
     Optional<String> score = task.item().hasReward() ? score(task) : Optional.of("");
     if (score.isEmpty()) {
       return;
     }
-    ItemResult result =
-        resultBuilder(task)
-            .setCompleted(true)
-            .setText(task.text().text())
-            .addAllVersions(task.text().versions())
-            .setScore(score.get())
-            .setEngine(task.engineId())
-            .setMsPerEvent(task.engineMsPerEvent())
-            .build();
-    storeResult(task, result);
+    storeResult(
+        task, result.setCompleted(true).setScore(score.get()).setItemDigest(task.digest()).build());
   }
 
   /** Returns the score, or empty if the item has been given up or cancelled. */
--- a/server/src/main/java/org/marigoldmill/server/batch/ItemTask.java
+++ b/server/src/main/java/org/marigoldmill/server/batch/ItemTask.java
@@ -4,7 +4,10 @@
 import org.marigoldmill.core.placement.Engine;
 import org.marigoldmill.core.submission.GeneratedText;
 import org.marigoldmill.core.submission.GiveUpRule;
+import org.marigoldmill.core.submission.ItemDigest;
+import org.marigoldmill.core.submission.TextSnapshot;
 import org.marigoldmill.http.Cancellation;
+import org.marigoldmill.schema.submission.ItemResult;
 import org.marigoldmill.schema.submission.RolloutItem;
 import org.marigoldmill.schema.submission.Submission;
 
@@ -29,6 +32,8 @@
   private int failures;
   private final long createdAtMs;
   private volatile long firstWaitMs;
+  private volatile String digest = "";
+  private volatile Optional<ItemResult> finishedText = Optional.empty();
 
   /**
    * Creates a task without an attempt.
@@ -68,6 +73,31 @@
     return position;
   }
 
+  /** Returns what tells the item from others, also in a later step. */
+  String digest() {
+    if (digest.isEmpty()) {
+      digest = ItemDigest.of(submission, item);
+    }
+    return digest;
+  }
+
+  /** Goes on from a text that another run has left, from the given clock time on. */
+  void resume(TextSnapshot left, long nowMs) {
+    text.resume(left);
+    engineService = left.service();
+    notBeforeMs = nowMs;
+  }
+
+  /** Takes over the whole text of an earlier step's result, so that no engine is needed. */
+  void useFinishedText(ItemResult result) {
+    finishedText = Optional.of(result);
+  }
+
+  /** Returns the result of an earlier step that has the whole text, if there is one. */
+  Optional<ItemResult> finishedText() {
+    return finishedText;
+  }
+
   long expectedTokens() {
     return item.getExpectedTokens();
   }
@@ -99,6 +129,11 @@
     return running;
   }
 
+  /** Marks the work that is left once the text is finished as started. */
+  synchronized void startScoring() {
+    running = true;
+  }
+
   /** Marks an attempt as started at the given clock time, in milliseconds. */
   synchronized void startAttempt(Engine engine, long nowMs) {
     attemptCancellation = new Cancellation();
--- a/server/src/main/java/org/marigoldmill/server/batch/RolloutScheduler.java
+++ b/server/src/main/java/org/marigoldmill/server/batch/RolloutScheduler.java
@@ -1,6 +1,7 @@
 package org.marigoldmill.server.batch;
 
 import com.google.common.flogger.FluentLogger;
+import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
@@ -23,6 +24,7 @@
 import org.marigoldmill.core.placement.RunLengths;
 import org.marigoldmill.core.supply.EngineNeed;
 import org.marigoldmill.core.weights.EngineVersions;
+import org.marigoldmill.schema.submission.ItemResult;
 import org.marigoldmill.schema.submission.RolloutItem;
 import org.marigoldmill.schema.submission.Submission;
 import org.marigoldmill.server.Clock;
@@ -84,6 +86,7 @@
   private final EngineLimits limits;
   private final EngineVersions versions;
   private final ItemRunner runner;
+  private final TextLog texts;
   private final Executor executor;
   private final BooleanSupplier upstreamsLost;
   private final FleetLog fleet;
@@ -113,6 +116,7 @@
       EngineLimits limits,
       EngineVersions versions,
       ItemRunner runner,
+      TextLog texts,
       Executor executor,
       BooleanSupplier upstreamsLost,
       FleetLog fleet,
@@ -128,6 +132,7 @@
     this.limits = limits;
     this.versions = versions;
     this.runner = runner;
+    this.texts = texts;
     this.executor = executor;
     this.upstreamsLost = upstreamsLost;
     this.fleet = fleet;
@@ -165,7 +170,20 @@
   }
 
   private synchronized boolean partitionsNeeded() {
-    return !tasks.isEmpty() || allocator.models().stream().anyMatch(membership::ownsModel);
+    return !tasks.isEmpty() || !ownedModels().isEmpty();
+  }
+
+  private List<String> ownedModels() {
+    return allocator.models().stream().filter(membership::ownsModel).toList();
+  }
+
+  /** Stores what is new of the texts in progress; meant to be called periodically. */
+  void storeTexts() {
+    List<ItemTask> unfinished;
+    synchronized (this) {
+      unfinished = List.copyOf(tasks.values());
+    }
+    texts.storeDue(unfinished);
   }
 
   /** Returns whether this instance has models or items, and has read the partitions. */
@@ -174,6 +192,7 @@
   }
 
   private void runRound(long changeCount) {
+    texts.follow(ownedModels());
     if (reconciledChangeCount != changeCount) {
       reconcile();
       reconciledChangeCount = changeCount;
@@ -186,7 +205,7 @@
   synchronized Map<ServedModel, Backlog> backlogs(EngineAllocation engines) {
     ItemRouter router = new ItemRouter(deployment.config(), engines);
     return tasks.values().stream()
-        .filter(t -> !t.running())
+        .filter(t -> !t.running() && t.finishedText().isEmpty())
         .flatMap(t -> router.route(t).map(s -> Map.entry(s, t.submission())).stream())
         .collect(
             Collectors.groupingBy(
@@ -256,26 +275,19 @@
       }
       List<RolloutItem> items =
           partitions.replicaFor(submission.getId()).state().openItems(submission.getId());
-      int added = 0;
+      List<ItemTask> added = new ArrayList<>();
       for (int i = 0; i < items.size(); i++) {
         RolloutItem item = items.get(i);
         String key = submission.getId() + "/" + item.getId();
         wanted.add(key);
         if (!draining && !tasks.containsKey(key)) {
-          tasks.put(key, newTask(submission, item, i));
-          added++;
+          ItemTask task = newTask(submission, item, i);
+          tasks.put(key, task);
+          added.add(task);
         }
       }
-      if (added > 0) {
-        logger.atInfo().log(
-            "submission taken on id=%s model=%s step=%d items=%d of=%d min_version=%d age_ms=%d",
-            submission.getId(),
-            submission.getModel(),
-            submission.getStep(),
-            added,
-            submission.getItemCount(),
-            submission.getMinVersion(),
-            System.currentTimeMillis() - submission.getAcceptedAtMs());
+      if (!added.isEmpty()) {
+        useFinishedTexts(submission, added);
       }
     }
     tasks
@@ -290,6 +302,25 @@
             });
   }
 
+  /** Spares engines the items that an earlier step has finished and its trainer asks for again. */
+  private void useFinishedTexts(Submission submission, List<ItemTask> added) {
+    Map<String, ItemResult> usable = partitions.usableResults(submission);
+    if (!usable.isEmpty()) {
+      added.forEach(t -> Optional.ofNullable(usable.get(t.digest())).ifPresent(t::useFinishedText));
+    }
+    logger.atInfo().log(
+        "submission taken on id=%s model=%s step=%d items=%d of=%d finished=%d min_version=%d"
+            + " age_ms=%d",
+        submission.getId(),
+        submission.getModel(),
+        submission.getStep(),
+        added.size(),
+        submission.getItemCount(),
+        added.stream().filter(t -> t.finishedText().isPresent()).count(),
+        submission.getMinVersion(),
+        System.currentTimeMillis() - submission.getAcceptedAtMs());
+  }
+
   private void drop(ItemTask task) {
     boolean unfinished = partitions.lacksResult(task.submission().getId(), task.item().getId());
     if (unfinished && task.generatedEvents() > 0) {
@@ -302,6 +333,7 @@
           remainingEvents(task),
           task.text().versions(),
           membership.ownsModel(task.submission().getModel()));
+      texts.keep(task);
     }
     task.cancel();
   }
@@ -320,7 +352,7 @@
     long now = clock.now();
     List<ItemTask> ready =
         tasks.values().stream()
-            .filter(t -> t.canStart(now) && mayStartHere(t))
+            .filter(t -> t.canStart(now) && mayStartHere(t) && texts.prepare(t))
             .sorted(START_ORDER)
             .toList();
     if (ready.isEmpty() || upstreamsLost.getAsBoolean()) {
@@ -331,11 +363,32 @@
     ItemRouter router = new ItemRouter(deployment.config(), engines);
     Set<String> atLimit = new HashSet<>();
     for (ItemTask task : ready) {
+      if (task.finishedText().isPresent()) {
+        startScoring(task, task.finishedText().get());
+        continue;
+      }
       Continuation.Choice choice = choose(task, router.route(task), engines, now);
       acquire(choice.engines(), atLimit, now).ifPresent(e -> startAttempt(task, e));
     }
   }
 
+  private void startScoring(ItemTask task, ItemResult finished) {
+    task.startScoring();
+    execute(task, () -> runner.finish(task, finished), () -> {});
+  }
+
+  /** Runs a step of an item on a thread; lets the item wait for one if there is none. */
+  private void execute(ItemTask task, Runnable step, Runnable undo) {
+    try {
+      executor.execute(step);
+    } catch (RejectedExecutionException e) {
+      undo.run();
+      task.endAttempt(clock.now() + ROUND_INTERVAL_MS);
+      logger.atWarning().log(
+          "item not started, will retry id=%s cause=no thread", task.item().getId());
+    }
+  }
+
   private Continuation.Choice choose(
       ItemTask task, Optional<ServedModel> routed, EngineAllocation engines, long now) {
     if (routed.isEmpty()) {
@@ -421,7 +474,7 @@
     lastMoveCheckMs = now;
     Map<RunGroup, List<ItemTask>> running =
         tasks.values().stream()
-            .filter(ItemTask::running)
+            .filter(t -> t.running() && t.finishedText().isEmpty())
             .collect(Collectors.groupingBy(RunGroup::of));
     if (running.isEmpty()) {
       return;
@@ -525,13 +578,6 @@
     }
     task.startAttempt(engine, clock.now());
     logger.atFine().log("item started id=%s engine=%s", task.item().getId(), engine.id());
-    try {
-      executor.execute(() -> runner.run(task, engine));
-    } catch (RejectedExecutionException e) {
-      loads.release(engine.id());
-      task.endAttempt(clock.now() + ROUND_INTERVAL_MS);
-      logger.atWarning().log(
-          "item not started, will retry id=%s cause=no thread", task.item().getId());
-    }
+    execute(task, () -> runner.run(task, engine), () -> loads.release(engine.id()));
   }
 }
--- a/server/src/main/java/org/marigoldmill/server/batch/Rollouts.java
+++ b/server/src/main/java/org/marigoldmill/server/batch/Rollouts.java
@@ -42,6 +42,7 @@
       EngineLimits limits,
       FleetLog fleet,
       EngineOrderLog engineOrders,
+      TextLog texts,
       Executor executor,
       BooleanSupplier upstreamsLost,
       Metrics metrics,
@@ -75,6 +76,7 @@
             limits,
             versions,
             runner,
+            texts,
             executor,
             upstreamsLost,
             fleet,
@@ -105,6 +107,11 @@
     planner.requestWantedLoads();
   }
 
+  /** Stores what is new of the texts in progress; meant to be called periodically. */
+  public void storeTexts() {
+    scheduler.storeTexts();
+  }
+
   /** Publishes how many engines the models need; meant to be called periodically. */
   public void publishEngineNeeds() {
     needs.publishDue();
--- a/server/src/main/java/org/marigoldmill/server/batch/SubmissionPartitions.java
+++ b/server/src/main/java/org/marigoldmill/server/batch/SubmissionPartitions.java
@@ -1,6 +1,7 @@
 package org.marigoldmill.server.batch;
 
 import com.google.common.flogger.FluentLogger;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.Executor;
@@ -11,7 +12,10 @@
 import java.util.stream.IntStream;
 import java.util.stream.Stream;
 import org.marigoldmill.core.placement.EngineTimes;
+import org.marigoldmill.core.submission.KeptTexts;
 import org.marigoldmill.core.submission.PartitionState;
+import org.marigoldmill.core.submission.TextSnapshot;
+import org.marigoldmill.schema.submission.ItemResult;
 import org.marigoldmill.schema.submission.Submission;
 import org.marigoldmill.server.Clock;
 import org.marigoldmill.server.store.BoundedLoadStore;
@@ -154,6 +158,30 @@
         .toList();
   }
 
+  /**
+   * Returns the results whose texts a submission may use, by the digest of their item: those of
+   * recent submissions of its model, with versions that it accepts.
+   */
+  Map<String, ItemResult> usableResults(Submission submission) {
+    long oldestMs = submission.getAcceptedAtMs() - KeptTexts.KEPT_MS;
+    Map<String, ItemResult> usable = new HashMap<>();
+    states()
+        .flatMap(
+            state ->
+                state.submissions().stream()
+                    .filter(s -> s.getModel().equals(submission.getModel()))
+                    .filter(s -> s.getAcceptedAtMs() >= oldestMs)
+                    .filter(s -> !s.getId().equals(submission.getId()))
+                    .flatMap(s -> state.results(s.getId()).stream()))
+        .filter(r -> r.getCompleted() && !r.getItemDigest().isEmpty())
+        .filter(
+            r ->
+                TextSnapshot.fits(
+                    r.getVersionsList(), submission.getMinVersion(), submission.getSingleVersion()))
+        .forEach(r -> usable.put(r.getItemDigest(), r));
+    return usable;
+  }
+
   /** Returns whether an item of a submission has no result. */
   boolean lacksResult(String submission, String item) {
     return replicaFor(submission).state().results(submission).stream()
--- a/server/src/test/java/org/marigoldmill/server/lastbuild/LastBuild.java
+++ b/server/src/test/java/org/marigoldmill/server/lastbuild/LastBuild.java
@@ -58,7 +58,8 @@
           Map.entry("engine-orders/order", "OrderedEngines"),
           Map.entry("submissions/h", "Submission"),
           Map.entry("submissions/c", "ItemChunk"),
-          Map.entry("submissions/r", "ItemResult"));
+          Map.entry("submissions/r", "ItemResult"),
+          Map.entry("texts", "TextPart"));
 
   private LastBuild() {}
 
