Scoring calls get more time after each attempt without an answer

Callers saw: SHORT. Cause: a call that scores a text had 1.5 s for up to four attempts, which got 750, 375, 350 and 25 ms. A call whose work takes longer than 750 ms was cut by us each time, and repeated for ever with the same limits. Its item was never finished, so its group came again with the next step, whose end waits for it. Class of fault: work that is repeated under a limit that it cannot meet. Change: one attempt a call, of half of the route's timeout and at most 1.5 s, twice as long after each one without an answer; calls end with their step, and runs that are being scored are not moved.

--- a/server/src/main/java/org/marigoldmill/server/batch/ItemRunner.java
+++ b/server/src/main/java/org/marigoldmill/server/batch/ItemRunner.java
@@ -15,10 +15,10 @@
 import org.marigoldmill.core.submission.GeneratedEvent;
 import org.marigoldmill.core.submission.GeneratedText;
 import org.marigoldmill.core.submission.GiveUpRule;
+import org.marigoldmill.core.submission.RewardTimeout;
 import org.marigoldmill.core.submission.StallDetector;
 import org.marigoldmill.core.supply.SlotTimes;
 import org.marigoldmill.core.weights.EngineVersions;
-import org.marigoldmill.http.Cancellation;
 import org.marigoldmill.http.HttpCall;
 import org.marigoldmill.http.HttpCallException;
 import org.marigoldmill.http.HttpResponse;
@@ -48,7 +48,6 @@
   private static final long MAX_EVENT_GAP_MS = 4_000;
 
   private static final long ATTEMPT_RETRY_DELAY_MS = 30;
-  private static final long REWARD_TIMEOUT_MS = 1_500;
   private static final long RESULT_RETRY_DELAY_MS = 60;
   private static final long COMMIT_TIMEOUT_MS = 5_000;
 
@@ -326,6 +325,7 @@
   }
 
   private void scoreAndStore(ItemTask task, ItemResult.Builder result) {
+    task.startScoring();
     Optional<String> score = task.item().hasReward() ? score(task) : Optional.of("");
     if (score.isEmpty()) {
       return;
@@ -337,8 +337,9 @@
   /** Returns the score, or empty if the item has been given up or cancelled. */
   private Optional<String> score(ItemTask task) {
     int failures = 0;
+    int unanswered = 0;
     while (!task.cancelled()) {
-      Forwarder.Outcome outcome = callReward(task.item().getReward(), task.submission());
+      Forwarder.Outcome outcome = callReward(task, unanswered);
       Optional<String> proof =
           outcome
               .response()
@@ -348,11 +349,15 @@
         return proof;
       }
       failures += outcome.failures();
+      if (outcome.kind() == ErrorKind.UPSTREAM_SILENT) {
+        unanswered++;
+      }
       logger.atInfo().log(
-          "reward failed id=%s item=%s failures=%d kind=%s status=%s",
+          "reward failed id=%s item=%s failures=%d unanswered=%d kind=%s status=%s",
           task.item().getReward().getId(),
           task.item().getId(),
           failures,
+          unanswered,
           outcome.kind(),
           outcome.response().map(HttpResponse::status).orElse(0));
       int itemAttempts = task.submission().getMaxAttempts();
@@ -366,8 +371,10 @@
     return Optional.empty();
   }
 
-  private Forwarder.Outcome callReward(RewardCall reward, Submission submission) {
-    Optional<Route> route = rewardRoute(reward);
+  /** Makes one attempt, so that each can get more time than the one before. */
+  private Forwarder.Outcome callReward(ItemTask task, int unanswered) {
+    RewardCall reward = task.item().getReward();
+    Optional<Route> route = rewardRoute(reward).map(r -> r.withMaxAttempts(1));
     if (route.isEmpty()) {
       return new Forwarder.Outcome(Optional.empty(), ErrorKind.NOT_FOUND, false, 0, 0, "", 0);
     }
@@ -383,10 +390,10 @@
             reward.getBody().toByteArray(),
             Optional.empty(),
             Urgency.BACKGROUND,
-            clock.now() + REWARD_TIMEOUT_MS,
-            new Cancellation(),
+            clock.now() + RewardTimeout.attemptMs(route.get().timeoutMs(), unanswered),
+            task.attemptCancellation(),
             Optional.empty(),
-            regions.zones(route.get(), submission.getOrganisation())));
+            regions.zones(route.get(), task.submission().getOrganisation())));
   }
 
   private Optional<Route> rewardRoute(RewardCall reward) {
--- a/server/src/main/java/org/marigoldmill/server/batch/ItemTask.java
+++ b/server/src/main/java/org/marigoldmill/server/batch/ItemTask.java
@@ -21,6 +21,7 @@
   private volatile boolean running;
   private volatile boolean cancelled;
   private volatile boolean moving;
+  private volatile boolean generating;
   private volatile String engineId = "";
   private volatile String engineSoftware = "";
   private volatile String engineService = "";
@@ -131,9 +132,20 @@
 
   /** Marks the work that is left once the text is finished as started. */
   synchronized void startScoring() {
+    attemptCancellation = new Cancellation();
+    if (cancelled) {
+      attemptCancellation.cancel();
+    }
+    moving = false;
+    generating = false;
     running = true;
   }
 
+  /** Returns whether an engine is generating the text. */
+  boolean generating() {
+    return running && generating;
+  }
+
   /** Marks an attempt as started at the given clock time, in milliseconds. */
   synchronized void startAttempt(Engine engine, long nowMs) {
     attemptCancellation = new Cancellation();
@@ -147,6 +159,7 @@
       firstWaitMs = nowMs - createdAtMs;
     }
     attempts++;
+    generating = true;
     running = true;
   }
 
--- a/server/src/main/java/org/marigoldmill/server/batch/RolloutScheduler.java
+++ b/server/src/main/java/org/marigoldmill/server/batch/RolloutScheduler.java
@@ -474,7 +474,7 @@
     lastMoveCheckMs = now;
     Map<RunGroup, List<ItemTask>> running =
         tasks.values().stream()
-            .filter(t -> t.running() && t.finishedText().isEmpty())
+            .filter(ItemTask::generating)
             .collect(Collectors.groupingBy(RunGroup::of));
     if (running.isEmpty()) {
       return;
