A text that a later step begins anew is stored from its beginning

Cause: what is stored of an item was continued by its digest. A later step began the item anew, as the versions of its text were too old; its events from the length of the old text on were stored behind the old text, and after the loss of power the next owner went on from that mixture. Evidence: item b36f...: run 1 cut at 40.2 with 90 events, run 2 begun anew at 44.2, run 3 at 53.1 after event 109. Change: a stored text belongs to the text in memory that it was written from; another text of the item is written from its beginning, and replaces it. TextLogTest fails without the change.

--- a/server/src/main/java/org/marigoldmill/server/batch/TextLog.java
+++ b/server/src/main/java/org/marigoldmill/server/batch/TextLog.java
@@ -18,6 +18,7 @@
 import java.util.function.ToIntFunction;
 import java.util.stream.Collectors;
 import org.marigoldmill.core.submission.CheckpointPolicy;
+import org.marigoldmill.core.submission.GeneratedText;
 import org.marigoldmill.core.submission.KeptTexts;
 import org.marigoldmill.core.submission.KeyedRecord;
 import org.marigoldmill.core.submission.TextPartKey;
@@ -53,6 +54,7 @@
   private static final class Stored {
     private final int partition;
     private final Set<String> keys = new HashSet<>();
+    private Optional<GeneratedText> text = Optional.empty();
     private String writer = "";
     private int restarts;
     private int parts;
@@ -258,13 +260,18 @@
       text = now.get();
     }
     Stored known = stored.get(task.digest());
-    boolean continued = known != null && !known.writer.isEmpty() && known.restarts == restarts;
+    boolean continued =
+        known != null
+            && known.text.filter(t -> t == task.text()).isPresent()
+            && known.restarts == restarts;
     if (!CheckpointPolicy.due(text.lastEventId(), continued ? known.events : 0)) {
       return;
     }
     int partition = partitionOfModel.applyAsInt(task.submission().getModel());
     Stored state = stored.computeIfAbsent(task.digest(), d -> new Stored(partition));
+    final List<String> outdatedKeys = continued ? List.of() : List.copyOf(state.keys);
     if (!continued) {
+      state.text = Optional.of(task.text());
       state.writer = process + "." + writings++;
       state.restarts = restarts;
       state.parts = 0;
@@ -286,15 +293,16 @@
     String key = new TextPartKey(task.digest(), state.writer, state.parts).text();
     // Also deleted if the append has no answer.
     state.keys.add(key);
-    due.computeIfAbsent(state.partition, p -> new ArrayList<>())
-        .add(
-            new Pending(
-                new KeyedRecord(key, Optional.of(part.toByteArray())),
-                () -> {
-                  state.parts++;
-                  state.characters = text.text().length();
-                  state.events = text.lastEventId();
-                }));
+    List<Pending> records = due.computeIfAbsent(state.partition, p -> new ArrayList<>());
+    records.add(
+        new Pending(
+            new KeyedRecord(key, Optional.of(part.toByteArray())),
+            () -> {
+              state.parts++;
+              state.characters = text.text().length();
+              state.events = text.lastEventId();
+            }));
+    outdatedKeys.forEach(k -> records.add(deletion(task.digest(), state, k)));
   }
 
   private void addDeletions(Set<String> unfinished, Map<Integer, List<Pending>> due) {
@@ -303,17 +311,18 @@
         (digest, state) -> {
           if (!unfinished.contains(digest) && !kept.contains(digest, now)) {
             List<Pending> records = due.computeIfAbsent(state.partition, p -> new ArrayList<>());
-            state.keys.forEach(
-                k ->
-                    records.add(
-                        new Pending(
-                            new KeyedRecord(k, Optional.empty()),
-                            () -> {
-                              state.keys.remove(k);
-                              if (state.keys.isEmpty()) {
-                                stored.remove(digest);
-                              }
-                            })));
+            state.keys.forEach(k -> records.add(deletion(digest, state, k)));
+          }
+        });
+  }
+
+  private Pending deletion(String digest, Stored state, String key) {
+    return new Pending(
+        new KeyedRecord(key, Optional.empty()),
+        () -> {
+          state.keys.remove(key);
+          if (state.keys.isEmpty()) {
+            stored.remove(digest);
           }
         });
   }
--- a/server/src/test/java/org/marigoldmill/server/batch/TextLogTest.java
+++ b/server/src/test/java/org/marigoldmill/server/batch/TextLogTest.java
@@ -37,8 +37,12 @@
   }
 
   private static ItemTask generated(long events) {
+    return generated(2, events);
+  }
+
+  private static ItemTask generated(long version, long events) {
     ItemTask task = task(STEP, "body");
-    task.text().startRun(2, "v1");
+    task.text().startRun(version, "v1");
     extend(task, 1, events);
     return task;
   }
@@ -108,6 +112,19 @@
       assertThat(store.readLatest(TextLog.TOPIC, 0).records()).isEmpty();
     }
 
+    /** ORDER: the stored text began with a run of an earlier step and went on with another one. */
+    @Test
+    void should_start_over_when_a_later_step_begins_the_text_anew() {
+      // GIVEN
+      owner.storeDue(List.of(generated(2, 20)));
+      ItemTask later = generated(3, 40);
+      // WHEN
+      owner.storeDue(List.of(later));
+      // THEN
+      assertThat(store.readLatest(TextLog.TOPIC, 0).records()).hasSize(1);
+      assertThat(takenOver(STEP, "body").text().snapshot("")).isEqualTo(later.text().snapshot(""));
+    }
+
     @Test
     void should_start_over_when_the_text_is_discarded() {
       // GIVEN
