A text of which only the score is missing needs no engine

Cause: a text that was whole when its owner or its step ended was kept like an unfinished one. It was resumed after its last event; the engine answers that without an event and without a version, which counts as too old, so the item was sent again each 30 ms and never finished. Change: a text tells whether it is whole, in memory and in its last stored part; such an item is only scored. If a run that was resumed gets an answer without a version, the text is begun anew, since an empty answer proves nothing. Before and after: TextLogTest, UnfinishedTextsIT NextStep (new cases, they need what the change adds). UnfinishedTextsIT waits until one instance owns the model: runs of the first owner were counted (red once; its log shows both owners).

--- a/cli/src/test/java/org/marigoldmill/cli/deployment/CutOffInstanceIT.java
+++ b/cli/src/test/java/org/marigoldmill/cli/deployment/CutOffInstanceIT.java
@@ -9,8 +9,6 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
-import java.util.regex.Matcher;
-import java.util.regex.Pattern;
 import java.util.stream.IntStream;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -33,9 +31,6 @@
   /** Second of the members of the group in order of their names. */
   private static final String INSTANCE = "one-cut-off";
 
-  /** Partition of the model, which the stand-in of the store assigns to the second member. */
-  private static final String MODEL_PARTITION = "1";
-
   private static final int CALLS = 12;
 
   /** Time that callers wait for an answer, as the shortest on the users' sheets. */
@@ -151,7 +146,7 @@
     @EnumSource(Cut.class)
     void should_be_completed_when_the_instance_that_owns_their_model_is_cut_off(Cut how) {
       // GIVEN
-      DeploymentCluster.await(this::holdsModel);
+      DeploymentCluster.await(() -> cluster.ownsModel(CUT_OFF));
       paths.cut(how);
       // WHEN
       cluster.post(CUT_OFF, "/batch/s1", "s1", DeploymentCluster.submission());
@@ -159,15 +154,6 @@
       DeploymentCluster.await(
           () -> cluster.results(CUT_OFF, "s1", 0).get("next").asInt() == DeploymentCluster.ITEMS);
     }
-
-    private boolean holdsModel() {
-      Matcher held = Pattern.compile("partitions held \\S+ now=\\[(.*?)]").matcher(output(CUT_OFF));
-      return held.results().reduce((a, b) -> b).filter(h -> hasModel(h.group(1))).isPresent();
-    }
-
-    private boolean hasModel(String partitions) {
-      return List.of(partitions.split(", ", -1)).contains(MODEL_PARTITION);
-    }
   }
 
   @Nested
--- a/cli/src/test/java/org/marigoldmill/cli/deployment/DeploymentCluster.java
+++ b/cli/src/test/java/org/marigoldmill/cli/deployment/DeploymentCluster.java
@@ -15,6 +15,7 @@
 import java.util.List;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.BooleanSupplier;
+import java.util.regex.Pattern;
 import java.util.stream.Stream;
 import org.marigoldmill.cli.process.DeploymentProcess;
 import org.marigoldmill.cli.process.ProcessCluster;
@@ -32,6 +33,12 @@
   static final int HEADER_BYTES = 8 * 1024;
   static final int BODY_BYTES = 64 * 1024;
 
+  private static final Pattern PARTITIONS_HELD =
+      Pattern.compile("partitions held \\S+ now=\\[(.*?)]");
+
+  /** Partition of the model, which the stand-in of the store assigns to the second member. */
+  private static final String MODEL_PARTITION = "1";
+
   private static final long EVENT_INTERVAL_MS = 100;
   private static final long AWAIT_TIMEOUT_MS = 40_000;
   private static final AtomicInteger NEXT_DIRECTORY = new AtomicInteger();
@@ -110,6 +117,16 @@
     return request(instance.readinessAddress(), "GET", "/-/readyz", "", "").status() == 200;
   }
 
+  /** Returns whether an instance holds the partition of the model, by its log. */
+  boolean ownsModel(int instance) {
+    return PARTITIONS_HELD
+        .matcher(instances.get(instance).process().output())
+        .results()
+        .reduce((a, b) -> b)
+        .filter(held -> List.of(held.group(1).split(", ", -1)).contains(MODEL_PARTITION))
+        .isPresent();
+  }
+
   HttpResponse call(String path, String key) {
     return requestWithKey(0, path, key);
   }
--- a/cli/src/test/java/org/marigoldmill/cli/deployment/UnfinishedTextsIT.java
+++ b/cli/src/test/java/org/marigoldmill/cli/deployment/UnfinishedTextsIT.java
@@ -4,6 +4,7 @@
 import static org.marigoldmill.cli.deployment.DeploymentCluster.ITEMS;
 
 import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.util.Collections;
 import java.util.List;
 import org.junit.jupiter.api.AfterEach;
@@ -20,6 +21,9 @@
   /** Enough for events to be stored; less than a text takes. */
   private static final long GENERATING_MS = 2_000;
 
+  /** Longer than the other steps of a test, within what the operator allows. */
+  private static final long SCORING_MS = 2_500;
+
   /** Instance to which the stand-in of the store assigns the model while both run. */
   private static final int OWNER = 1;
 
@@ -38,6 +42,12 @@
       DeploymentCluster.await(
           () -> cluster.instances.get(instance).process().output().contains(output));
     }
+    awaitOneOwner();
+  }
+
+  /** Otherwise the first owner's runs would be counted too. */
+  private void awaitOneOwner() {
+    DeploymentCluster.await(() -> cluster.ownsModel(OWNER) && !cluster.ownsModel(OTHER));
   }
 
   @AfterEach
@@ -47,7 +57,10 @@
   }
 
   private void submit(String id) {
-    JsonNode body = DeploymentCluster.submission("long");
+    submit(id, DeploymentCluster.submission("long"));
+  }
+
+  private void submit(String id, JsonNode body) {
     assertThat(cluster.post(OTHER, "/batch/" + id, id, body).status()).isEqualTo(202);
   }
 
@@ -108,5 +121,22 @@
       assertThat(finished).isNotEmpty().allSatisfy(i -> assertThat(runs(i)).isEqualTo(1));
       assertWholeTexts("s2");
     }
+
+    /** SHORT: a text whose score was missing was resumed after its last event, and never ended. */
+    @Test
+    void should_not_ask_an_engine_for_a_text_of_which_only_the_score_is_missing() {
+      // GIVEN
+      ObjectNode body = DeploymentCluster.submission("long");
+      ((ObjectNode) body.at("/items/0/scorer")).put("path", "/app/echo/" + SCORING_MS);
+      submit("s1", body);
+      DeploymentCluster.await(() -> cluster.plain.startedRequests().contains("reward-long-0"));
+      // WHEN
+      assertThat(cluster.request(OTHER, "DELETE", "/-/lots/s1").status()).isEqualTo(200);
+      submit("s2", body);
+      awaitResults("s2", ITEMS);
+      // THEN
+      assertThat(runs("long-0")).isEqualTo(1);
+      assertWholeTexts("s2");
+    }
   }
 }
--- a/core/src/main/java/org/marigoldmill/core/submission/GeneratedText.java
+++ b/core/src/main/java/org/marigoldmill/core/submission/GeneratedText.java
@@ -17,6 +17,7 @@
   private String runSoftwareVersion = "";
   private Optional<String> softwareVersion = Optional.empty();
   private int restarts;
+  private boolean complete;
 
   /** Creates an empty text. */
   public GeneratedText() {}
@@ -68,9 +69,20 @@
     versions.clear();
     softwareVersion = Optional.empty();
     lastEventId = OptionalLong.empty();
+    complete = false;
     restarts++;
   }
 
+  /** Records that a run has ended with the last event, so that no event is missing. */
+  public synchronized void markComplete() {
+    complete = true;
+  }
+
+  /** Returns whether no event is missing. */
+  public synchronized boolean complete() {
+    return complete;
+  }
+
   /** Returns how often the text has been discarded. */
   public synchronized int restarts() {
     return restarts;
@@ -90,6 +102,7 @@
     versions.addAll(snapshot.versions());
     softwareVersion = Optional.of(snapshot.softwareVersion());
     lastEventId = OptionalLong.of(snapshot.lastEventId());
+    complete = snapshot.complete();
   }
 
   /**
@@ -99,7 +112,7 @@
    */
   public synchronized Optional<TextSnapshot> snapshot(String service) {
     return softwareVersion.map(
-        v -> new TextSnapshot(text(), lastEventId.getAsLong(), versions(), v, service));
+        v -> new TextSnapshot(text(), lastEventId.getAsLong(), versions(), v, service, complete));
   }
 
   /** Returns the id of the last event, or empty if there is none. */
--- a/core/src/main/java/org/marigoldmill/core/submission/TextParts.java
+++ b/core/src/main/java/org/marigoldmill/core/submission/TextParts.java
@@ -62,6 +62,7 @@
                 p.getLastEvent(),
                 p.getVersionsList(),
                 p.getSoftwareVersion(),
-                p.getService()));
+                p.getService(),
+                p.getComplete()));
   }
 }
--- a/core/src/main/java/org/marigoldmill/core/submission/TextSnapshot.java
+++ b/core/src/main/java/org/marigoldmill/core/submission/TextSnapshot.java
@@ -11,9 +11,15 @@
  * @param versions versions of the weights that generated the text, oldest first
  * @param softwareVersion version of the software that generated it
  * @param service service whose engines generated it
+ * @param complete whether the text is whole, so that no engine is needed to go on
  */
 public record TextSnapshot(
-    String text, long lastEventId, List<Long> versions, String softwareVersion, String service) {
+    String text,
+    long lastEventId,
+    List<Long> versions,
+    String softwareVersion,
+    String service,
+    boolean complete) {
   /** Copies the versions. */
   public TextSnapshot {
     versions = List.copyOf(versions);
--- a/core/src/test/java/org/marigoldmill/core/submission/KeptTextsTest.java
+++ b/core/src/test/java/org/marigoldmill/core/submission/KeptTextsTest.java
@@ -10,7 +10,8 @@
   private final KeptTexts kept = new KeptTexts();
 
   private static TextSnapshot text(long events, Long... versions) {
-    return new TextSnapshot("x".repeat((int) events), events, List.of(versions), "v1", "llm");
+    return new TextSnapshot(
+        "x".repeat((int) events), events, List.of(versions), "v1", "llm", false);
   }
 
   @Nested
--- a/server/src/main/java/org/marigoldmill/server/batch/ItemRunner.java
+++ b/server/src/main/java/org/marigoldmill/server/batch/ItemRunner.java
@@ -112,13 +112,7 @@
     }
     try {
       if (complete && !task.cancelled()) {
-        scoreAndStore(
-            task,
-            resultBuilder(task)
-                .setText(task.text().text())
-                .addAllVersions(task.text().versions())
-                .setEngine(task.engineId())
-                .setMsPerEvent(task.engineMsPerEvent()));
+        scoreAndStore(task);
       }
     } catch (RuntimeException e) {
       logger.atWarning().withCause(e).log(
@@ -129,12 +123,10 @@
     }
   }
 
-  /** Scores and stores an item whose text an earlier step has finished; never throws. */
-  void finish(ItemTask task, ItemResult earlier) {
+  /** Scores and stores an item whose text is complete; never throws. */
+  void finish(ItemTask task) {
     try {
-      scoreAndStore(
-          task,
-          resultBuilder(task).setText(earlier.getText()).addAllVersions(earlier.getVersionsList()));
+      scoreAndStore(task);
     } catch (RuntimeException e) {
       logger.atWarning().withCause(e).log(
           "item result not stored, will retry id=%s", task.item().getId());
@@ -197,6 +189,12 @@
     long version = sender.protocol().weightVersion(stream.headers()).orElse(0);
     versions.recordReportedVersion(engine.id(), model, version);
     GeneratedText text = task.text();
+    if (version == 0 && text.lastEventId().isPresent()) {
+      // Nothing may have been left to generate; an empty answer does not prove that.
+      text.restart();
+      logAttemptEnded(task, engine, "no version in the answer of a resumed run, begun anew");
+      return false;
+    }
     if (version < submission.getMinVersion()) {
       loads.recordRefusal(engine.id(), clock.now());
       logAttemptEnded(
@@ -286,8 +284,10 @@
         task.firstWaitMs());
     if (mixedVersions) {
       task.text().restart();
+      return false;
     }
-    return !mixedVersions;
+    task.text().markComplete();
+    return true;
   }
 
   private void recordErrorStatus(ItemTask task, Engine engine, HttpStream stream) {
@@ -324,12 +324,26 @@
     return event.isPresent() ? Long.toString(event.getAsLong()) : "none";
   }
 
-  private void scoreAndStore(ItemTask task, ItemResult.Builder result) {
+  private void scoreAndStore(ItemTask task) {
     task.startScoring();
     Optional<String> score = task.item().hasReward() ? score(task) : Optional.of("");
     if (score.isEmpty()) {
       return;
     }
+    ItemResult.Builder result =
+        task.finishedText()
+            .map(
+                earlier ->
+                    resultBuilder(task)
+                        .setText(earlier.getText())
+                        .addAllVersions(earlier.getVersionsList()))
+            .orElseGet(
+                () ->
+                    resultBuilder(task)
+                        .setText(task.text().text())
+                        .addAllVersions(task.text().versions())
+                        .setEngine(task.engineId())
+                        .setMsPerEvent(task.engineMsPerEvent()));
     storeResult(
         task, result.setCompleted(true).setScore(score.get()).setItemDigest(task.digest()).build());
   }
--- a/server/src/main/java/org/marigoldmill/server/batch/ItemTask.java
+++ b/server/src/main/java/org/marigoldmill/server/batch/ItemTask.java
@@ -130,6 +130,11 @@
     return running;
   }
 
+  /** Returns whether only the score is missing. */
+  boolean textComplete() {
+    return finishedText.isPresent() || text.complete();
+  }
+
   /** Marks the work that is left once the text is finished as started. */
   synchronized void startScoring() {
     attemptCancellation = new Cancellation();
--- a/server/src/main/java/org/marigoldmill/server/batch/RolloutScheduler.java
+++ b/server/src/main/java/org/marigoldmill/server/batch/RolloutScheduler.java
@@ -205,7 +205,7 @@
   synchronized Map<ServedModel, Backlog> backlogs(EngineAllocation engines) {
     ItemRouter router = new ItemRouter(deployment.config(), engines);
     return tasks.values().stream()
-        .filter(t -> !t.running() && t.finishedText().isEmpty())
+        .filter(t -> !t.running() && !t.textComplete())
         .flatMap(t -> router.route(t).map(s -> Map.entry(s, t.submission())).stream())
         .collect(
             Collectors.groupingBy(
@@ -363,8 +363,8 @@
     ItemRouter router = new ItemRouter(deployment.config(), engines);
     Set<String> atLimit = new HashSet<>();
     for (ItemTask task : ready) {
-      if (task.finishedText().isPresent()) {
-        startScoring(task, task.finishedText().get());
+      if (task.textComplete()) {
+        startScoring(task);
         continue;
       }
       Continuation.Choice choice = choose(task, router.route(task), engines, now);
@@ -372,9 +372,9 @@
     }
   }
 
-  private void startScoring(ItemTask task, ItemResult finished) {
+  private void startScoring(ItemTask task) {
     task.startScoring();
-    execute(task, () -> runner.finish(task, finished), () -> {});
+    execute(task, () -> runner.finish(task), () -> {});
   }
 
   /** Runs a step of an item on a thread; lets the item wait for one if there is none. */
--- a/server/src/main/java/org/marigoldmill/server/batch/TextLog.java
+++ b/server/src/main/java/org/marigoldmill/server/batch/TextLog.java
@@ -60,6 +60,7 @@
     private int parts;
     private int characters;
     private long events;
+    private boolean complete;
 
     private Stored(int partition) {
       this.partition = partition;
@@ -264,7 +265,8 @@
         known != null
             && known.text.filter(t -> t == task.text()).isPresent()
             && known.restarts == restarts;
-    if (!CheckpointPolicy.due(text.lastEventId(), continued ? known.events : 0)) {
+    boolean justCompleted = continued && text.complete() && known.parts > 0 && !known.complete;
+    if (!justCompleted && !CheckpointPolicy.due(text.lastEventId(), continued ? known.events : 0)) {
       return;
     }
     int partition = partitionOfModel.applyAsInt(task.submission().getModel());
@@ -277,6 +279,7 @@
       state.parts = 0;
       state.characters = 0;
       state.events = 0;
+      state.complete = false;
     }
     TextPart part =
         TextPart.newBuilder()
@@ -286,6 +289,7 @@
             .addAllVersions(text.versions())
             .setSoftwareVersion(text.softwareVersion())
             .setService(text.service())
+            .setComplete(text.complete())
             .build();
     if (part.getSerializedSize() > maxPartBytes) {
       return;
@@ -301,6 +305,7 @@
               state.parts++;
               state.characters = text.text().length();
               state.events = text.lastEventId();
+              state.complete = text.complete();
             }));
     outdatedKeys.forEach(k -> records.add(deletion(task.digest(), state, k)));
   }
--- a/server/src/test/java/org/marigoldmill/server/batch/TextLogTest.java
+++ b/server/src/test/java/org/marigoldmill/server/batch/TextLogTest.java
@@ -75,6 +75,20 @@
       assertThat(resumed.text().snapshot("")).isEqualTo(task.text().snapshot(""));
     }
 
+    /** Such an item was resumed after its last event, again and again, and never finished. */
+    @Test
+    void should_tell_when_only_the_score_of_a_text_is_missing() {
+      // GIVEN
+      ItemTask task = generated(20);
+      owner.storeDue(List.of(task));
+      extend(task, 21, 21);
+      task.text().markComplete();
+      // WHEN
+      owner.storeDue(List.of(task));
+      // THEN
+      assertThat(takenOver(STEP, "body").textComplete()).isTrue();
+    }
+
     @Test
     void should_let_an_item_wait_while_its_former_owner_may_still_generate_it() {
       owner.storeDue(List.of(generated(20)));
