The texts of a model that an instance gets back are read again

Cause: an instance noticed that it had lost a model only in rounds in which it had one. One that lost its only model and got it back took the texts for read. Change: ownership is followed in each round.

--- a/server/src/main/java/org/marigoldmill/server/batch/RolloutScheduler.java
+++ b/server/src/main/java/org/marigoldmill/server/batch/RolloutScheduler.java
@@ -147,6 +147,8 @@
    */
   public void scheduleOnce() {
     long changeCount = partitions.changeCount();
+    // Also without models, so that the texts of one that comes back are read again.
+    texts.follow(ownedModels());
     boolean needed = partitionsNeeded();
     if (needed && !partitions.followed()) {
       // Tells which partitions hold the submissions of the models that this instance has got.
@@ -192,7 +194,6 @@
   }
 
   private void runRound(long changeCount) {
-    texts.follow(ownedModels());
     if (reconciledChangeCount != changeCount) {
       reconcile();
       reconciledChangeCount = changeCount;
