--- a/core/src/main/java/org/marigoldmill/core/submission/PartitionState.java
+++ b/core/src/main/java/org/marigoldmill/core/submission/PartitionState.java
@@ -138,6 +138,12 @@
     return stored != null && !stored.ended() && !stored.hasResult(item);
   }
 
+  /** Returns whether an item has a result, also in a submission that has ended. */
+  public synchronized boolean hasResult(String submission, String item) {
+    StoredSubmission stored = submissions.get(submission);
+    return stored != null && stored.hasResult(item);
+  }
+
   /** Returns the results of a submission, ordered by offset. */
   public synchronized List<ItemResult> results(String id) {
     StoredSubmission stored = submissions.get(id);
--- a/server/src/main/java/org/marigoldmill/server/batch/RolloutScheduler.java
+++ b/server/src/main/java/org/marigoldmill/server/batch/RolloutScheduler.java
@@ -323,12 +323,14 @@
   }
 
   private void drop(ItemTask task) {
-    boolean unfinished = partitions.lacksResult(task.submission().getId(), task.item().getId());
-    if (unfinished && task.generatedEvents() > 0) {
+    String submission = task.submission().getId();
+    boolean finished =
+        partitions.replicaFor(submission).state().hasResult(submission, task.item().getId());
+    if (!finished && task.generatedEvents() > 0) {
       logger.atInfo().log(
           "item dropped id=%s submission=%s step=%d events=%d remaining=%d versions=%s owned=%s",
           task.item().getId(),
-          task.submission().getId(),
+          submission,
           task.submission().getStep(),
           task.generatedEvents(),
           remainingEvents(task),
--- a/server/src/main/java/org/marigoldmill/server/batch/SubmissionPartitions.java
+++ b/server/src/main/java/org/marigoldmill/server/batch/SubmissionPartitions.java
@@ -182,12 +182,6 @@
     return usable;
   }
 
-  /** Returns whether an item of a submission has no result. */
-  boolean lacksResult(String submission, String item) {
-    return replicaFor(submission).state().results(submission).stream()
-        .noneMatch(r -> r.getItemId().equals(item));
-  }
-
   /** Returns all stored submissions. */
   public List<Submission> allSubmissions() {
     return states().flatMap(s -> s.submissions().stream()).toList();
