Texts that are not due for storing are not copied

Found by reading: each text in progress was copied twice a second before it was known whether anything of it is to be stored, which grows with the items of a step. Failed reads of texts are logged whatever their cause.

--- a/server/src/main/java/org/marigoldmill/server/batch/TextLog.java
+++ b/server/src/main/java/org/marigoldmill/server/batch/TextLog.java
@@ -65,6 +65,11 @@
     private Stored(int partition) {
       this.partition = partition;
     }
+
+    /** Returns whether what is stored is the beginning of a text. */
+    private boolean holds(GeneratedText written, int restartsOfWritten) {
+      return text.filter(t -> t == written).isPresent() && restarts == restartsOfWritten;
+    }
   }
 
   /** A part to store, or a key to delete, and what to do once that is done. */
@@ -148,6 +153,8 @@
           partition, records.size(), texts.size(), clock.now() - startedAtMs);
     } catch (StoreUnavailableException e) {
       logger.atInfo().log("texts not read partition=%d cause=%s", partition, e.getMessage());
+    } catch (RuntimeException e) {
+      logger.atWarning().withCause(e).log("texts not read partition=%d", partition);
     }
   }
 
@@ -250,30 +257,24 @@
   }
 
   private void addNewPart(ItemTask task, Map<Integer, List<Pending>> due) {
+    GeneratedText source = task.text();
     TextSnapshot text;
     int restarts;
-    synchronized (task.text()) {
-      restarts = task.text().restarts();
-      Optional<TextSnapshot> now = task.text().snapshot(task.engineService());
-      if (now.isEmpty()) {
+    boolean continued;
+    synchronized (source) {
+      restarts = source.restarts();
+      Stored known = stored.get(task.digest());
+      continued = known != null && known.holds(source, restarts);
+      if (!isDue(source, continued ? Optional.of(known) : Optional.empty())) {
         return;
       }
-      text = now.get();
-    }
-    Stored known = stored.get(task.digest());
-    boolean continued =
-        known != null
-            && known.text.filter(t -> t == task.text()).isPresent()
-            && known.restarts == restarts;
-    boolean justCompleted = continued && text.complete() && known.parts > 0 && !known.complete;
-    if (!justCompleted && !CheckpointPolicy.due(text.lastEventId(), continued ? known.events : 0)) {
-      return;
+      text = source.snapshot(task.engineService()).orElseThrow();
     }
     int partition = partitionOfModel.applyAsInt(task.submission().getModel());
     Stored state = stored.computeIfAbsent(task.digest(), d -> new Stored(partition));
     final List<String> outdatedKeys = continued ? List.of() : List.copyOf(state.keys);
     if (!continued) {
-      state.text = Optional.of(task.text());
+      state.text = Optional.of(source);
       state.writer = process + "." + writings++;
       state.restarts = restarts;
       state.parts = 0;
@@ -310,6 +311,13 @@
     outdatedKeys.forEach(k -> records.add(deletion(task.digest(), state, k)));
   }
 
+  private static boolean isDue(GeneratedText text, Optional<Stored> known) {
+    long storedEvents = known.map(s -> s.events).orElse(0L);
+    boolean justCompleted =
+        text.complete() && known.filter(s -> s.parts > 0 && !s.complete).isPresent();
+    return justCompleted || CheckpointPolicy.due(text.lastEventId().orElse(0), storedEvents);
+  }
+
   private void addDeletions(Set<String> unfinished, Map<Integer, List<Pending>> due) {
     long now = clock.now();
     stored.forEach(
