A scoring call that its upstream answers 504 in time gets more time too

On the untouched logic two scoring calls ended with 504. Cause: an upstream is told how long it may take, and may answer 504 at that time, just before our own limit ends the attempt. Change: a 504 counts as unanswered too. The stand-in of an engine keeps the time that it is told on paths with /timed/. Before and after: SlowRewardIT, its second case, failed on (not listed in 40 s) and passes.

--- a/cli/src/test/java/org/marigoldmill/cli/deployment/EngineStandin.java
+++ b/cli/src/test/java/org/marigoldmill/cli/deployment/EngineStandin.java
@@ -38,6 +38,14 @@
   /** Marks paths whose requests run and are answered with the status after it. */
   private static final String STATUS_SEGMENT = "/status/";
 
+  /**
+   * Marks paths whose requests run for the time after it, or are answered 504 when theirs is up.
+   */
+  private static final String TIMED_SEGMENT = "/timed/";
+
+  /** Time by which such an answer precedes the end of the request's time, to arrive before it. */
+  private static final long TIMED_MARGIN_MS = 100;
+
   /** A weight order as received. */
   record Order(long version, long fence, String holder) {}
 
@@ -224,6 +232,16 @@
       exchange.getOutputStream().write("ran".getBytes(UTF_8));
       return;
     }
+    int timed = path.indexOf(TIMED_SEGMENT);
+    if (timed >= 0) {
+      long workMs = Long.parseLong(path.substring(timed + TIMED_SEGMENT.length()));
+      String allowed = exchange.getRequestHeaders().getFirst("X-Deadline-Ms");
+      long leftMs = Long.parseLong(allowed) - TIMED_MARGIN_MS;
+      sleep(Math.min(workMs, leftMs));
+      exchange.setStatusCode(workMs > leftMs ? 504 : 200);
+      exchange.getOutputStream().write("ran".getBytes(UTF_8));
+      return;
+    }
     int echo = path.indexOf(ECHO_SEGMENT);
     if (!path.startsWith("/gen/") && echo >= 0) {
       sleep(Long.parseLong(path.substring(echo + ECHO_SEGMENT.length())));
--- a/server/src/main/java/org/marigoldmill/server/batch/ItemRunner.java
+++ b/server/src/main/java/org/marigoldmill/server/batch/ItemRunner.java
@@ -363,7 +363,7 @@
         return proof;
       }
       failures += outcome.failures();
-      if (outcome.kind() == ErrorKind.UPSTREAM_SILENT) {
+      if (ranOutOfTime(outcome)) {
         unanswered++;
       }
       logger.atInfo().log(
@@ -385,6 +385,13 @@
     return Optional.empty();
   }
 
+  /** Returns whether the time limit ended an attempt, here or at the upstream, which is told it. */
+  private static boolean ranOutOfTime(Forwarder.Outcome outcome) {
+    int timeout = ErrorKind.UPSTREAM_SILENT.status();
+    return outcome.kind() == ErrorKind.UPSTREAM_SILENT
+        || outcome.response().filter(r -> r.status() == timeout).isPresent();
+  }
+
   /** Makes one attempt, so that each can get more time than the one before. */
   private Forwarder.Outcome callReward(ItemTask task, int unanswered) {
     RewardCall reward = task.item().getReward();
